--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,302 @@
+package announcer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"poplarwind/internal/sealer"
+	"poplarwind/internal/sleeper"
+	"poplarwind/keeper"
+	"poplarwind/watcher"
+)
+
+const (
+	// fanout is how many peers an entry speaks to each beat.
+	fanout       = 2
+	peerTimeout  = time.Second
+	pullEvery    = 500 * time.Millisecond
+	headerBytes  = 350
+	controlBurst = 4
+	pathHello    = "/peer/hello"
+	pathPull     = "/peer/pull"
+)
+
+// errPeer reports that a peer gave no usable answer.
+const errPeer = errors.ConstError("peer gave no usable answer")
+
+// Options set an Announcer. All fields must be set.
+type Options struct {
+	Secret  []byte
+	Beat    time.Duration
+	Control int
+	Book    *watcher.Book
+	// Instances returns the platform's list as last seen, and Learn takes in
+	// a list that a peer saw.
+	Instances func() []keeper.Instance
+	Learn     func([]keeper.Instance)
+	Log       *slog.Logger
+}
+
+// Announcer exchanges tables and settings with peers.
+type Announcer struct {
+	options Options
+	table   *Table
+	client  fasthttp.Client
+	// budget pays for the bytes of messages that this entry starts.
+	budget *rate.Limiter
+	random *mathrand.Rand
+	// sent, received, skipped and refused count bytes, bytes, exchanges that
+	// the budget denied, and messages that were not let in.
+	sent, received, skipped, refused atomic.Int64
+
+	mu sync.Mutex
+	// owed holds, for each peer, the members that it wants described.
+	owed map[string][]string
+	// pulled is when settings were last asked of a peer.
+	pulled time.Time
+}
+
+// New returns an announcer of the table.
+func New(t *Table, o Options) *Announcer {
+	return &Announcer{
+		options: o, table: t, owed: make(map[string][]string),
+		budget: rate.NewLimiter(rate.Limit(o.Control/2), controlBurst*o.Control),
+		random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
+		client: fasthttp.Client{
+			MaxIdemponentCallAttempts: 1, MaxResponseBodySize: MaxMessage, NoDefaultUserAgentHeader: true,
+			MaxIdleConnDuration: time.Minute, ReadTimeout: peerTimeout, WriteTimeout: peerTimeout,
+		},
+	}
+}
+
+// Traffic is the cost of peer messages since the start.
+type Traffic struct {
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
+	Skipped  int64 `json:"skipped"`
+	Refused  int64 `json:"refused"`
+}
+
+// Traffic returns the cost of peer messages since the start.
+func (a *Announcer) Traffic() Traffic {
+	return Traffic{a.sent.Load(), a.received.Load(), a.skipped.Load(), a.refused.Load()}
+}
+
+// Run sends a heartbeat to a few peers each beat, until ctx ends.
+func (a *Announcer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		a.table.Tick(time.Now())
+		peers := a.table.Peers(time.Now())
+		a.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, p := range peers[:min(fanout, len(peers))] {
+			go a.greet(ctx, p)
+		}
+		sleeper.Sleep(ctx, a.options.Beat)
+	}
+	return nil
+}
+
+// Farewell tells every peer at once that this entry is leaving.
+func (a *Announcer) Farewell(ctx context.Context) {
+	a.table.Leave()
+	var wg sync.WaitGroup
+	for _, p := range a.table.Peers(time.Now()) {
+		wg.Go(func() { a.greet(ctx, p) })
+	}
+	wg.Wait()
+}
+
+// greet exchanges tables with one peer and pulls settings if they differ.
+func (a *Announcer) greet(ctx context.Context, p Member) {
+	h := a.hello(p.Name)
+	data, err := a.call(ctx, p, pathHello, h)
+	if err != nil {
+		return
+	}
+	back, err := ParseHello(data)
+	if err != nil {
+		a.refused.Add(1)
+		return
+	}
+	a.accept(back)
+	if back.From.Digest != a.options.Book.View().Digest() || a.options.Instances() == nil {
+		a.pull(ctx, p)
+	}
+}
+
+func (a *Announcer) hello(peer string) Hello {
+	now := time.Now()
+	self, _ := a.table.Self()
+	a.mu.Lock()
+	owed := a.owed[peer]
+	delete(a.owed, peer)
+	a.mu.Unlock()
+	return Hello{From: self, News: a.table.News(now), Intro: a.table.Lookup(owed)}
+}
+
+// accept takes in a peer's hello and returns the names that it left unclear.
+func (a *Announcer) accept(h Hello) []string {
+	now := time.Now()
+	a.table.Introduce(now, false, h.Intro...)
+	a.table.Introduce(now, true, h.From)
+	want := a.table.Merge(now, h.News)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(h.Want) > 0 {
+		a.owed[h.From.Name] = h.Want
+	}
+	return want
+}
+
+// pull asks a peer for newer settings, at most once in a while.
+func (a *Announcer) pull(ctx context.Context, p Member) {
+	a.mu.Lock()
+	if time.Since(a.pulled) < pullEvery {
+		a.mu.Unlock()
+		return
+	}
+	a.pulled = time.Now()
+	a.mu.Unlock()
+	q := Pull{List: a.options.Instances() == nil}
+	for _, e := range a.options.Book.View().Entries() {
+		if e.Version() > 0 {
+			q.Have = append(q.Have, keeper.Stamp{Path: e.Object().Path, Version: e.Version()})
+		}
+	}
+	data, err := a.call(ctx, p, pathPull, q)
+	if err != nil {
+		return
+	}
+	var got Haul
+	if err := json.Unmarshal(data, &got); err != nil {
+		a.refused.Add(1)
+		return
+	}
+	for _, o := range got.Objects {
+		if a.options.Book.Offer(o) {
+			a.options.Log.Info("settings in force", "path", strings.TrimPrefix(o.Path, keeper.Prefix), "version", o.Version, "from", p.Name)
+		}
+	}
+	if len(got.Instances) > 0 && a.options.Instances() == nil {
+		a.options.Learn(got.Instances)
+	}
+}
+
+// call sends one sealed message and returns the peer's sealed answer.
+func (a *Announcer) call(ctx context.Context, p Member, path string, message any) ([]byte, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if !a.budget.AllowN(time.Now(), min(a.budget.Burst(), len(body)+headerBytes)) {
+		a.skipped.Add(1)
+		return nil, errPeer
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	nonce := rand.Text()
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + p.Peers + path)
+	req.Header.Set(sealer.Nonce, nonce)
+	req.Header.Set(sealer.Header, sealer.Seal(a.options.Secret, []byte(path), []byte(nonce), body))
+	req.SetBody(body)
+	a.sent.Add(int64(len(body) + headerBytes))
+	deadline := time.Now().Add(peerTimeout)
+	if err := a.client.DoDeadline(req, resp, deadline); err != nil {
+		return nil, errors.WithType(err, errPeer)
+	}
+	a.received.Add(int64(len(resp.Body()) + headerBytes))
+	if resp.StatusCode() != fasthttp.StatusOK || ctx.Err() != nil {
+		return nil, errPeer
+	}
+	seal := string(resp.Header.Peek(sealer.Header))
+	if !sealer.Verify(a.options.Secret, seal, []byte("answer"), []byte(nonce), resp.Body()) {
+		a.refused.Add(1)
+		return nil, errPeer
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// Handle serves one message of a peer.
+func (a *Announcer) Handle(ctx *fasthttp.RequestCtx) {
+	body := ctx.PostBody()
+	path, nonce := ctx.Path(), ctx.Request.Header.Peek(sealer.Nonce)
+	seal := string(ctx.Request.Header.Peek(sealer.Header))
+	a.received.Add(int64(len(body) + headerBytes))
+	if !sealer.Verify(a.options.Secret, seal, path, nonce, body) {
+		a.refused.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	var answer any
+	switch string(path) {
+	case pathHello:
+		h, err := ParseHello(body)
+		if err != nil {
+			a.refused.Add(1)
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		want := a.accept(h)
+		back := a.hello(h.From.Name)
+		back.Want = want[:min(len(want), maxWants)]
+		answer = back
+	case pathPull:
+		var q Pull
+		if err := json.Unmarshal(body, &q); err != nil {
+			a.refused.Add(1)
+			ctx.Error(ErrMessage.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		answer = a.haul(q)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	out, err := json.Marshal(answer)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	a.sent.Add(int64(len(out) + headerBytes))
+	ctx.Response.Header.Set(sealer.Header, sealer.Seal(a.options.Secret, []byte("answer"), nonce, out))
+	ctx.SetBody(out)
+}
+
+// haul collects accepted settings newer than the asker's, up to a bound. The
+// asker comes again for the rest.
+func (a *Announcer) haul(q Pull) Haul {
+	have := make(map[string]uint64, len(q.Have))
+	for _, s := range q.Have {
+		have[s.Path] = s.Version
+	}
+	var out Haul
+	size := 0
+	for _, e := range a.options.Book.View().Entries() {
+		o := e.Object()
+		if o.Version <= have[o.Path] {
+			continue
+		}
+		size += len(o.Data)
+		if size > maxObjects && len(out.Objects) > 0 {
+			break
+		}
+		out.Objects = append(out.Objects, o)
+	}
+	if q.List {
+		out.Instances = a.options.Instances()
+	}
+	return out
+}
--- /dev/null
+++ b/announcer/message.go
@@ -0,0 +1,84 @@
+package announcer
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"poplarwind/keeper"
+)
+
+// ErrMessage reports a message of a peer that is malformed or out of bounds.
+const ErrMessage = errors.ConstError("malformed message of a peer")
+
+const (
+	// MaxMessage bounds a message between entries, in bytes.
+	MaxMessage = 2 << 20
+	maxBriefs  = 1024
+	maxWants   = 256
+	maxMarks   = 256
+	maxRates   = 256
+	maxText    = 128
+	// maxObjects bounds the settings in one message, in bytes of data.
+	maxObjects = 512 << 10
+)
+
+// Hello is what entries exchange each beat.
+type Hello struct {
+	From  Member   `json:"from"`
+	News  []Brief  `json:"news"`
+	Want  []string `json:"want,omitempty"`
+	Intro []Member `json:"intro,omitempty"`
+}
+
+// Pull asks a peer for accepted settings newer than those held.
+type Pull struct {
+	Have []keeper.Stamp `json:"have"`
+	// List asks for the platform's list too, as the peer last saw it.
+	List bool `json:"list,omitempty"`
+}
+
+// Haul answers a Pull.
+type Haul struct {
+	Objects   []keeper.Object   `json:"objects"`
+	Instances []keeper.Instance `json:"instances,omitempty"`
+}
+
+// ParseHello reads a Hello and checks its bounds.
+func ParseHello(data []byte) (Hello, error) {
+	var h Hello
+	if err := json.Unmarshal(data, &h); err != nil {
+		return h, errors.WithType(err, ErrMessage)
+	}
+	switch {
+	case h.From.Name == "":
+		return h, errors.Annotate(ErrMessage, "from.name: missing")
+	case len(h.News) > maxBriefs:
+		return h, errors.Annotate(ErrMessage, "news: too long")
+	case len(h.Want) > maxWants || len(h.Intro) > maxBriefs:
+		return h, errors.Annotate(ErrMessage, "want, intro: too long")
+	}
+	for _, m := range append(h.Intro, h.From) {
+		if err := m.check(); err != nil {
+			return h, err
+		}
+	}
+	for _, b := range h.News {
+		if b.Name == "" || len(b.Name) > maxText {
+			return h, errors.Annotate(ErrMessage, "news.n: length")
+		}
+	}
+	return h, nil
+}
+
+func (m Member) check() error {
+	for _, s := range []string{m.Name, m.Domain, m.Region, m.Callers, m.Peers, m.Ops} {
+		if len(s) > maxText {
+			return errors.Annotate(ErrMessage, "member: text too long")
+		}
+	}
+	if len(m.Rates) > maxRates || len(m.Marks) > maxMarks {
+		return errors.Annotate(ErrMessage, "member: rates, marks: too long")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/poplarctl/main.go
@@ -0,0 +1,180 @@
+// Poplarctl is the operators' tool: it checks settings, applies them to the
+// platform's store, and shows what entries do.
+//
+// Exit codes: 0 done; 1 settings refused; 2 wrong usage; 3 another operator's
+// change won; 4 the store or every entry is out of reach, and the outcome of a
+// change may be unknown; 5 accepted, but not seen in force everywhere in time;
+// 6 not found.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"poplarwind/keeper"
+	"poplarwind/parser"
+)
+
+// The exit codes.
+const (
+	exitDone = iota
+	exitRefused
+	exitUsage
+	exitConflict
+	exitUnreachable
+	exitSlow
+	exitAbsent
+)
+
+// tool is one run of the program.
+type tool struct {
+	out, err io.Writer
+	platform string
+	entries  string
+	json     bool
+	timeout  time.Duration
+	team     string
+	by       string
+	wait     bool
+	expect   int64
+	version  uint64
+	// ops holds operators' addresses found by name.
+	store *keeper.Client
+}
+
+// command is one subcommand.
+type command struct {
+	name, args, about string
+	run               func(*tool, context.Context, []string) error
+	flags             func(*tool, *flag.FlagSet)
+}
+
+var commands = []command{
+	{"check", "FILE...", "check settings files without touching anything", (*tool).check, teamFlag},
+	{"apply", "FILE", "put the settings of a file in force", (*tool).apply, applyFlags},
+	{"get", "PATH", "print the settings of a path", (*tool).get, func(t *tool, f *flag.FlagSet) {
+		f.Uint64Var(&t.version, "version", 0, "version to print, 0 for the newest")
+	}},
+	{"history", "PATH", "list the versions of a path", (*tool).history, nil},
+	{"status", "", "show entries, services and settings in force", (*tool).status, nil},
+	{"dump", "ENTRY", "print the whole state of one entry, by name or operators' address", (*tool).dump, nil},
+}
+
+func teamFlag(t *tool, f *flag.FlagSet) {
+	f.StringVar(&t.team, "team", "", "refuse paths outside this `team`'s subtree")
+}
+
+func applyFlags(t *tool, f *flag.FlagSet) {
+	teamFlag(t, f)
+	f.BoolVar(&t.wait, "wait", false, "wait until every live entry has the change in force")
+	f.Int64Var(&t.expect, "expect", -1, "apply only if the path is at this `version` (0: absent); needs a file of one path")
+	f.StringVar(&t.by, "by", operator(), "operator's `name` for the history")
+}
+
+func operator() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "operator"
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, out, errw io.Writer) int {
+	if len(args) == 0 || args[0] == "-h" || args[0] == "help" {
+		usage(errw)
+		return exitUsage
+	}
+	for _, c := range commands {
+		if c.name == args[0] {
+			return c.start(args[1:], out, errw)
+		}
+	}
+	fmt.Fprintf(errw, "poplarctl: unknown command %q\n", args[0])
+	usage(errw)
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "usage: poplarctl COMMAND [flags] [arguments]")
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-8s %-8s %s\n", c.name, c.args, c.about)
+	}
+	fmt.Fprintln(w, "poplarctl COMMAND -h tells the flags of a command.")
+}
+
+const defaultTimeout = 15 * time.Second
+
+func (c command) start(args []string, out, errw io.Writer) int {
+	t := &tool{out: out, err: errw}
+	f := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	f.SetOutput(errw)
+	f.Usage = func() {
+		fmt.Fprintf(errw, "usage: poplarctl %s [flags] %s\n%s\n", c.name, c.args, c.about)
+		f.PrintDefaults()
+	}
+	f.StringVar(&t.platform, "platform", os.Getenv("POPLARWIND_PLATFORM"), "platform's `address`; or set POPLARWIND_PLATFORM")
+	f.StringVar(&t.entries, "entries", os.Getenv("POPLARWIND_ENTRIES"), "operators' `addresses` of entries, by comma; or set POPLARWIND_ENTRIES; empty to take the platform's list")
+	f.BoolVar(&t.json, "json", false, "print JSON")
+	f.DurationVar(&t.timeout, "timeout", defaultTimeout, "time for the whole command")
+	if c.flags != nil {
+		c.flags(t, f)
+	}
+	if err := f.Parse(args); err != nil {
+		return exitUsage
+	}
+	if c.name != "check" && t.platform == "" && t.entries == "" {
+		fmt.Fprintln(errw, "poplarctl: -platform is missing")
+		return exitUsage
+	}
+	t.store = keeper.NewClient(t.platform, 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), t.timeout)
+	defer cancel()
+	err := c.run(t, ctx, f.Args())
+	if err != nil {
+		fmt.Fprintln(errw, "poplarctl:", err)
+	}
+	return code(err)
+}
+
+// Errors that only the tool knows.
+const (
+	errUsage = errors.ConstError("wrong arguments")
+	errSlow  = errors.ConstError("accepted, but not seen in force everywhere in time")
+)
+
+// code returns the exit code of an error.
+func code(err error) int {
+	var refused *parser.Error
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errSlow):
+		return exitSlow
+	case errors.As(err, &refused):
+		return exitRefused
+	case errors.Is(err, keeper.ErrConflict), errors.Is(err, keeper.ErrSuperseded):
+		return exitConflict
+	case errors.Is(err, keeper.ErrAbsent):
+		return exitAbsent
+	default:
+		return exitUnreachable
+	}
+}
+
+func one(args []string, what string) (string, error) {
+	if len(args) != 1 || strings.HasPrefix(args[0], "-") {
+		return "", errors.Annotatef(errUsage, "want one %s", what)
+	}
+	return args[0], nil
+}
--- /dev/null
+++ b/cmd/poplarfake/main.go
@@ -0,0 +1,188 @@
+// Poplarfake holds the stand-ins of tests and the demo: a platform, a server
+// and a load of callers.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"poplarwind/internal/faker"
+	"poplarwind/internal/plotter"
+)
+
+const exitUsage = 2
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) == 0 {
+		fmt.Fprintln(os.Stderr, "usage: poplarfake platform|server|load [flags]")
+		return exitUsage
+	}
+	switch args[0] {
+	case "platform":
+		return platform(args[1:])
+	case "server":
+		return server(args[1:])
+	case "load":
+		return load(args[1:])
+	}
+	fmt.Fprintf(os.Stderr, "poplarfake: unknown command %q\n", args[0])
+	return exitUsage
+}
+
+// stand is what a stand-in that listens can do.
+type stand interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
+// serve runs a stand-in until a signal.
+func serve(s stand, addr string) int {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "poplarfake:", err)
+		return 1
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		_ = s.Close()
+	}()
+	if err := s.Serve(l); err != nil {
+		fmt.Fprintln(os.Stderr, "poplarfake:", err)
+		return 1
+	}
+	return 0
+}
+
+func platform(args []string) int {
+	f := flag.NewFlagSet("platform", flag.ExitOnError)
+	addr := f.String("listen", "127.0.0.1:0", "`address` to listen on")
+	_ = f.Parse(args)
+	return serve(&faker.Platform{}, *addr)
+}
+
+func server(args []string) int {
+	f := flag.NewFlagSet("server", flag.ExitOnError)
+	addr := f.String("listen", "127.0.0.1:0", "`address` to listen on")
+	slots := f.Int("slots", 3, "calls run at once")
+	work := f.Duration("work", 5*time.Millisecond, "time of a call")
+	ledger := f.String("ledger", "", "`file` to which the id of each call is added as it runs")
+	mood := f.String("mood", "{}", "how the server behaves, as JSON")
+	_ = f.Parse(args)
+	s := &faker.Server{Slots: *slots, Work: *work}
+	if *ledger != "" {
+		w, err := os.OpenFile(*ledger, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "poplarfake:", err)
+			return 1
+		}
+		defer w.Close()
+		s.Ledger = w
+	}
+	var m faker.Mood
+	if err := json.Unmarshal([]byte(*mood), &m); err != nil {
+		fmt.Fprintln(os.Stderr, "poplarfake: mood:", err)
+		return exitUsage
+	}
+	s.Set(m)
+	return serve(s, *addr)
+}
+
+func load(args []string) int {
+	f := flag.NewFlagSet("load", flag.ExitOnError)
+	entries := f.String("entries", "", "`addresses` of entries to ask first, by comma")
+	ledgers := f.String("ledgers", "", "`pattern` of the servers' ledgers, to judge by")
+	rate := f.Float64("rate", 200, "calls a second")
+	span := f.Duration("for", 5*time.Second, "how long to send")
+	seed := f.Uint64("seed", 1, "seed of arrivals")
+	asJSON := f.Bool("json", false, "print JSON")
+	svg := f.String("svg", "", "`file` for a plot of latency")
+	var kinds []faker.LoadKind
+	f.Func("kind", "METHOD,/path[,share=N][,weight=N][,work=D][,deadline=D][,keyed]; may be given again", func(s string) error {
+		k, err := faker.ParseKind(s)
+		kinds = append(kinds, k)
+		return err
+	})
+	_ = f.Parse(args)
+	if *entries == "" || len(kinds) == 0 {
+		f.Usage()
+		return exitUsage
+	}
+	l := faker.Load{Caller: &faker.Caller{Entries: strings.Split(*entries, ",")}, Kinds: kinds, Rate: *rate, For: *span, Seed: *seed}
+	r := l.Run()
+	var v faker.Verdict
+	if *ledgers != "" {
+		runs, err := counter(*ledgers)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "poplarfake:", err)
+			return 1
+		}
+		v = r.Judge(runs)
+	}
+	if *asJSON {
+		_ = json.NewEncoder(os.Stdout).Encode(struct {
+			*faker.LoadReport
+			faker.Verdict
+		}{r, v})
+	} else {
+		table(r, v)
+	}
+	if *svg != "" {
+		if err := draw(*svg, r); err != nil {
+			fmt.Fprintln(os.Stderr, "poplarfake:", err)
+			return 1
+		}
+	}
+	if v != (faker.Verdict{}) || r.Bad > 0 {
+		fmt.Fprintln(os.Stderr, "poplarfake: a promise was broken")
+		return 1
+	}
+	return 0
+}
+
+// counter returns how often each call ran, by the servers' ledgers.
+func counter(pattern string) (func(string) int, error) {
+	files, err := filepath.Glob(pattern)
+	if err != nil {
+		return nil, err
+	}
+	sum := make(map[string]int)
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		for id := range strings.FieldsSeq(string(text)) {
+			sum[id]++
+		}
+	}
+	return func(id string) int { return sum[id] }, nil
+}
+
+func table(r *faker.LoadReport, v faker.Verdict) {
+	fmt.Printf("calls %d  good %d  late %d  failed %d  bad %d\n", r.Calls, r.Good, r.Late, r.Failed, r.Bad)
+	fmt.Printf("told no %d  unknown %d  replayed %d  weighted on time %.4f\n", r.No, r.Unknown, r.Replayed, r.OnTime)
+	fmt.Printf("latency ms  p50 %.2f  p99 %.2f  p99.9 %.2f  max %.2f\n", r.P50, r.P99, r.P999, r.Max)
+	fmt.Printf("doubled %d  false no %d  lost %d\n", v.Doubled, v.FalseNo, v.Lost)
+}
+
+func draw(path string, r *faker.LoadReport) error {
+	var l plotter.Line
+	l.Name = "latency"
+	for q := 50.0; q < 99.95; q += 0.1 {
+		l.X = append(l.X, q)
+		l.Y = append(l.Y, float64(r.Hist.ValueAtQuantile(q))/1000)
+	}
+	return plotter.Draw(path, "Latency by percentile", "percentile", "ms", []plotter.Line{l})
+}
--- /dev/null
+++ b/internal/plotter/plotter.go
@@ -0,0 +1,48 @@
+// Package plotter draws measurements as SVG files.
+package plotter
+
+import (
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Line is one named line of a plot.
+type Line struct {
+	Name string
+	X, Y []float64
+}
+
+const (
+	width  = 18 * vg.Centimeter
+	height = 11 * vg.Centimeter
+)
+
+// Draw writes the lines to an SVG file. It panics if a line's X and Y differ
+// in length.
+func Draw(path, title, x, y string, lines []Line) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	for i, l := range lines {
+		if len(l.X) != len(l.Y) {
+			panic("plotter: lengths differ")
+		}
+		points := make(plotter.XYs, len(l.X))
+		for j := range l.X {
+			points[j].X, points[j].Y = l.X[j], l.Y[j]
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return errors.Annotate(err, "drawing")
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i / 7)
+		p.Add(line)
+		p.Legend.Add(l.Name, line)
+	}
+	return errors.Trace(p.Save(width, height, path))
+}
--- /dev/null
+++ b/keeper/client.go
@@ -0,0 +1,162 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultTimeout = 3 * time.Second
+	maxAnswer      = 8 << 20
+)
+
+// Client reaches the platform over HTTP. It sends each call once.
+type Client struct {
+	addr    string
+	timeout time.Duration
+	http    fasthttp.Client
+	// calls, writes and bytes count what was asked of the platform.
+	calls, writes, bytes atomic.Int64
+}
+
+// NewClient returns a client of the platform at addr, an IP number and a
+// port. A timeout of 0 means three seconds.
+func NewClient(addr string, timeout time.Duration) *Client {
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	return &Client{addr: addr, timeout: timeout, http: fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxAnswer,
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+	}}
+}
+
+// Calls returns how many calls were sent and how many of them were writes.
+func (c *Client) Calls() (all, writes int64) { return c.calls.Load(), c.writes.Load() }
+
+// Get implements Reader.
+func (c *Client) Get(ctx context.Context, path string) (Object, error) {
+	return c.GetVersion(ctx, path, 0)
+}
+
+// GetVersion implements Reader.
+func (c *Client) GetVersion(ctx context.Context, path string, version uint64) (Object, error) {
+	q := url.Values{"path": {path}}
+	if version > 0 {
+		q.Set("version", strconv.FormatUint(version, 10))
+	}
+	var o Object
+	err := c.call(ctx, "GET", "/v1/object", q, nil, &o)
+	return o, err
+}
+
+// Versions implements Reader.
+func (c *Client) Versions(ctx context.Context, path string) ([]Stamp, error) {
+	var s []Stamp
+	err := c.call(ctx, "GET", "/v1/versions", url.Values{"path": {path}}, nil, &s)
+	return s, err
+}
+
+// List implements Reader.
+func (c *Client) List(ctx context.Context, prefix string) ([]Stamp, error) {
+	var s []Stamp
+	err := c.call(ctx, "GET", "/v1/list", url.Values{"prefix": {prefix}}, nil, &s)
+	return s, err
+}
+
+// Watch implements Reader.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error) {
+	q := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatUint(after, 10)},
+		"wait":   {wait.String()},
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	var b Batch
+	err := c.call(ctx, "GET", "/v1/watch", q, nil, &b)
+	return b, err
+}
+
+// Put implements Writer.
+func (c *Client) Put(ctx context.Context, path string, data []byte, expect uint64) (uint64, error) {
+	c.writes.Add(1)
+	q := url.Values{"path": {path}, "expect": {strconv.FormatUint(expect, 10)}}
+	var s Stamp
+	err := c.call(ctx, "PUT", "/v1/object", q, data, &s)
+	return s.Version, err
+}
+
+// Instances implements Lister.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var l []Instance
+	err := c.call(ctx, "GET", "/v1/instances", nil, nil, &l)
+	return l, err
+}
+
+// reply is what one exchange with the platform gave.
+type reply struct {
+	status int
+	body   []byte
+	err    error
+}
+
+// call sends one call and decodes its answer into dst. It returns when ctx
+// ends even if the exchange is still under way.
+func (c *Client) call(ctx context.Context, method, path string, q url.Values, body []byte, dst any) error {
+	c.calls.Add(1)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(c.timeout)
+	}
+	done := make(chan reply, 1)
+	go func() { done <- c.exchange(method, "http://"+c.addr+path+"?"+q.Encode(), body, deadline) }()
+	var r reply
+	select {
+	case r = <-done:
+	case <-ctx.Done():
+		r.err = ctx.Err()
+	}
+	if r.err != nil {
+		return errors.WithType(errors.Annotatef(r.err, "%s %s", method, path), ErrUnavailable)
+	}
+	c.bytes.Add(int64(len(r.body) + len(body)))
+	switch {
+	case r.status == fasthttp.StatusPreconditionFailed:
+		return errors.Trace(ErrConflict)
+	case r.status == fasthttp.StatusNotFound:
+		return errors.Trace(ErrAbsent)
+	case r.status >= 500:
+		return errors.Annotatef(ErrUnavailable, "status %d", r.status)
+	case r.status >= 400:
+		return errors.Annotatef(ErrRefused, "status %d: %s", r.status, r.body)
+	}
+	if err := json.Unmarshal(r.body, dst); err != nil {
+		return errors.WithType(errors.Annotate(err, "answer of the platform"), ErrUnavailable)
+	}
+	return nil
+}
+
+func (c *Client) exchange(method, uri string, body []byte, deadline time.Time) reply {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.SetBody(body)
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return reply{err: err}
+	}
+	return reply{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+}
--- /dev/null
+++ b/relayer/header.go
@@ -0,0 +1,127 @@
+package relayer
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Headers between callers, entries and servers.
+const (
+	// HeaderRan says in an answer whether the call ran.
+	HeaderRan = "Poplar-Ran"
+	// HeaderDeadline says how long a caller waits, such as "250ms". Servers
+	// are sent what is left of it.
+	HeaderDeadline = "Poplar-Deadline"
+	// HeaderKey makes a call that must not run twice safe to repeat.
+	HeaderKey = "Idempotency-Key"
+	// HeaderFirst, set to "1", asserts that the key was never sent before.
+	HeaderFirst = "Poplar-First"
+	// HeaderSpent says in an answer that retries were spent on the call, so
+	// that those above spend none.
+	HeaderSpent = "Poplar-Spent"
+	// HeaderReplay marks an answer that was recorded for an earlier attempt.
+	HeaderReplay = "Poplar-Replay"
+)
+
+// Headers that servers add to answers: the one place that knows them.
+const (
+	// HeaderLoad tells how many calls the server runs or holds.
+	HeaderLoad = "Server-Load"
+	// HeaderLeaving marks the answers of a server that is leaving.
+	HeaderLeaving = "Server-Leaving"
+	// HeaderShed marks a 503 of a server that did not run the call.
+	HeaderShed = "Server-Shed"
+)
+
+const (
+	// ErrDeadline reports a malformed deadline.
+	ErrDeadline = errors.ConstError("malformed " + HeaderDeadline)
+	// ErrKey reports a malformed idempotency key.
+	ErrKey = errors.ConstError("malformed " + HeaderKey)
+)
+
+const (
+	maxKey    = 128
+	maxLoad   = 1 << 20
+	deadLimit = 2 * time.Minute
+)
+
+// ParseDeadline reads the value of HeaderDeadline: a duration with a unit,
+// above zero. Values over two minutes mean two minutes.
+func ParseDeadline(v []byte) (time.Duration, error) {
+	d, err := time.ParseDuration(string(v))
+	if err != nil || d <= 0 {
+		return 0, errors.Annotatef(ErrDeadline, "got: %.40q want: a duration such as \"250ms\"", v)
+	}
+	return min(d, deadLimit), nil
+}
+
+// ParseKey reads the value of HeaderKey: 1 to 128 printable characters
+// without a blank.
+func ParseKey(v []byte) (string, error) {
+	if len(v) == 0 || len(v) > maxKey {
+		return "", errors.Annotatef(ErrKey, "got: %d bytes want: 1 to %d", len(v), maxKey)
+	}
+	for _, b := range v {
+		if b <= ' ' || b > '~' {
+			return "", errors.Annotate(ErrKey, "want printable characters without a blank")
+		}
+	}
+	return string(v), nil
+}
+
+// ParseLoad reads the load that a server told, -1 if it told none.
+func ParseLoad(v []byte) int {
+	n, err := strconv.Atoi(string(v))
+	if err != nil || n < 0 {
+		return -1
+	}
+	return min(n, maxLoad)
+}
+
+// connectionHeaders are about one connection and never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// headers is what requests' and responses' headers have in common.
+type headers interface {
+	Peek(key string) []byte
+	Del(key string)
+	DelBytes(key []byte)
+}
+
+// strip removes headers about one connection, and those that the Connection
+// header names.
+func strip(h headers) {
+	if v := h.Peek("Connection"); len(v) > 0 {
+		for name := range bytes.SplitSeq(bytes.Clone(v), []byte(",")) {
+			name = bytes.TrimSpace(name)
+			if !bytes.EqualFold(name, []byte("close")) && !bytes.EqualFold(name, []byte("keep-alive")) {
+				h.DelBytes(name)
+			}
+		}
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+}
+
+// outgoing fills dst with what a server is sent of the caller's request src,
+// with left of the deadline.
+func outgoing(dst, src *fasthttp.Request, left time.Duration) {
+	src.Header.CopyTo(&dst.Header)
+	strip(&dst.Header)
+	for _, name := range []string{HeaderFirst, HeaderSpent, HeaderReplay, HeaderRan} {
+		dst.Header.Del(name)
+	}
+	dst.Header.Set(HeaderDeadline, left.Round(time.Microsecond).String())
+	dst.Header.ResetConnectionClose()
+	dst.UseHostHeader = true
+	dst.SetBodyRaw(src.Body())
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,358 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/claimer"
+	"poplarwind/limiter"
+	"poplarwind/parser"
+	"poplarwind/pooler"
+	"poplarwind/watcher"
+)
+
+// Options set a Relayer.
+type Options struct {
+	// Calls bounds the calls held at once, 0 meaning 4096.
+	Calls int
+	// Body bounds an answer's body in bytes, 0 meaning 1 MiB.
+	Body int
+	// Header bounds an answer's headers in bytes, 0 meaning 16 KiB.
+	Header int
+	// Claims takes claims for idempotency keys.
+	Claims *claimer.Claimer
+	// Observe is told how each call ended, nil for nobody.
+	Observe func(service string, class parser.Class, ran Ran, took time.Duration)
+}
+
+const (
+	defaultCalls  = 4096
+	defaultBody   = 1 << 20
+	defaultHeader = 16 << 10
+)
+
+// Errors that refuse a call before it is sent.
+const (
+	errNoService = errors.ConstError("no such service")
+	errOff       = errors.ConstError("service is withdrawn by its settings")
+	errMethod    = errors.ConstError("unknown method")
+	errNeedsKey  = errors.ConstError("route needs an " + HeaderKey)
+)
+
+// Relayer carries the calls of all services at this entry.
+type Relayer struct {
+	options Options
+	pool    *pooler.Pool
+	shares  *limiter.Shares
+	view    atomic.Pointer[watcher.View]
+
+	mu sync.RWMutex
+	// services is keyed by settings path and replaced as a whole.
+	services map[string]*Service
+}
+
+// New returns a relayer without services.
+func New(o Options) *Relayer {
+	if o.Calls == 0 {
+		o.Calls = defaultCalls
+	}
+	if o.Body == 0 {
+		o.Body = defaultBody
+	}
+	if o.Header == 0 {
+		o.Header = defaultHeader
+	}
+	r := &Relayer{options: o, shares: limiter.NewShares(o.Calls), pool: &pooler.Pool{Buffer: o.Header}}
+	r.view.Store(&watcher.View{})
+	return r
+}
+
+// Configure puts the accepted settings in force.
+func (r *Relayer) Configure(v *watcher.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := maps.Clone(r.services)
+	if next == nil {
+		next = make(map[string]*Service)
+	}
+	for _, e := range v.Entries() {
+		p := v.Service(e.Path())
+		if p == nil {
+			continue
+		}
+		s := next[e.Path()]
+		if s == nil {
+			s = newService(e.Path(), r.pool)
+			next[e.Path()] = s
+		}
+		if s.Settings() != p {
+			s.configure(p)
+		}
+	}
+	r.services = next
+	r.view.Store(v)
+}
+
+// Service returns the service of the path, or nil.
+func (r *Relayer) Service(path string) *Service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.services[path]
+}
+
+// Services returns all services in order of path.
+func (r *Relayer) Services() []*Service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*Service, 0, len(r.services))
+	for _, p := range slices.Sorted(maps.Keys(r.services)) {
+		out = append(out, r.services[p])
+	}
+	return out
+}
+
+// Held returns how many calls are in flight at this entry.
+func (r *Relayer) Held() int { return r.shares.Held() }
+
+// Pool returns the connections to servers.
+func (r *Relayer) Pool() *pooler.Pool { return r.pool }
+
+// Handle serves one call of a caller.
+func (r *Relayer) Handle(ctx *fasthttp.RequestCtx) {
+	start := time.Now()
+	s, x, err := r.admit(ctx, start)
+	if err != nil {
+		refuse(ctx, err, RanNo)
+		return
+	}
+	defer r.shares.Release(s.settings.Team())
+	v := r.carry(x)
+	if v.resp != nil {
+		pass(ctx, v.resp)
+		fasthttp.ReleaseResponse(v.resp)
+		ctx.Response.Header.Set(HeaderRan, v.ran.String())
+	} else {
+		refuse(ctx, v.err, v.ran)
+	}
+	if x.spent {
+		ctx.Response.Header.Set(HeaderSpent, "1")
+	}
+	s.service.count(x, v, time.Since(start))
+	if r.options.Observe != nil {
+		r.options.Observe(s.service.path, x.route.Class(), v.ran, time.Since(start))
+	}
+}
+
+// target is a service with the settings that one call is held to.
+type target struct {
+	service  *Service
+	settings *parser.Service
+}
+
+// find returns the service that a request path such as "/team/service/rest"
+// names, and the rest of the path.
+func (r *Relayer) find(path string) (target, string, error) {
+	team, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	name, tail, _ := strings.Cut(rest, "/")
+	s := r.Service("/" + team + "/" + name)
+	if s == nil {
+		return target{}, "", errNoService
+	}
+	p := s.Settings()
+	if p.Off() {
+		return target{}, "", errOff
+	}
+	return target{service: s, settings: p}, "/" + tail, nil
+}
+
+// admit checks a request and takes its place among its team's calls.
+func (r *Relayer) admit(ctx *fasthttp.RequestCtx, start time.Time) (target, *exchange, error) {
+	method := string(ctx.Method())
+	if !parser.KnownMethod(method) {
+		return target{}, nil, errMethod
+	}
+	t, tail, err := r.find(string(ctx.Path()))
+	if err != nil {
+		return t, nil, err
+	}
+	x := &exchange{
+		relayer: r, service: t.service, ctx: ctx, request: &ctx.Request,
+		route: t.settings.Route(method, tail), conns: t.settings.Conns(),
+		trustsShed: t.settings.TrustsShed(), events: make(chan event, maxEvents),
+	}
+	x.repeat = x.route.Idempotent()
+	limit := x.route.Deadline()
+	if v := ctx.Request.Header.Peek(HeaderDeadline); len(v) > 0 {
+		if limit, err = ParseDeadline(v); err != nil {
+			return t, nil, err
+		}
+	}
+	x.deadline = start.Add(limit)
+	team := r.view.Load().Team(t.settings.Team())
+	if err := r.shares.Admit(t.settings.Team(), team.Calls(), team.Share()); err != nil {
+		return t, nil, err
+	}
+	return t, x, nil
+}
+
+// carry serves the call, under a claim if it has a key and must not run
+// twice.
+func (r *Relayer) carry(x *exchange) verdict {
+	raw := x.request.Header.Peek(HeaderKey)
+	if x.repeat || len(raw) == 0 {
+		if len(raw) == 0 && x.route.KeyRequired() {
+			return verdict{err: errNeedsKey}
+		}
+		return x.serve()
+	}
+	key, err := ParseKey(raw)
+	if err != nil {
+		return verdict{err: err}
+	}
+	first := string(x.request.Header.Peek(HeaderFirst)) == "1"
+	claim, known, err := r.claim(x, key)
+	switch {
+	case known != nil:
+		return replay(known)
+	case errors.Is(err, claimer.ErrNoClaim) && !first:
+		// This request did not run, but an earlier one with its key may have.
+		return verdict{err: err, ran: RanUnknown}
+	case errors.Is(err, claimer.ErrMayHaveRun):
+		return verdict{err: err, ran: RanUnknown}
+	case err != nil:
+		return verdict{err: err}
+	}
+	v := x.serve()
+	r.settle(claim, v)
+	return v
+}
+
+// claimPart is the part of a call's time that taking its claim may use.
+const claimPart = 0.8
+
+func (r *Relayer) claim(x *exchange, key string) (*claimer.Claim, *claimer.Outcome, error) {
+	if r.options.Claims == nil {
+		return nil, nil, errors.Trace(claimer.ErrNoClaim)
+	}
+	limit := time.Duration(claimPart * float64(time.Until(x.deadline)))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	digest := claimer.Print(string(x.request.Header.Method()), string(x.request.RequestURI()), x.request.Body())
+	return r.options.Claims.Claim(ctx, x.service.path, key, digest)
+}
+
+// settle writes down how a claimed call ended, beside its path.
+func (r *Relayer) settle(c *claimer.Claim, v verdict) {
+	switch v.ran {
+	case RanNo:
+		r.options.Claims.Void(c)
+	case RanUnknown:
+		r.options.Claims.Lose(c)
+	case RanYes:
+		o := claimer.Outcome{Status: v.resp.StatusCode(), Type: string(v.resp.Header.ContentType())}
+		o.Body = append(o.Body, v.resp.Body()...)
+		r.options.Claims.Done(c, o)
+	}
+}
+
+// replay turns a recorded outcome into an answer.
+func replay(o *claimer.Outcome) verdict {
+	resp := fasthttp.AcquireResponse()
+	resp.Header.Set(HeaderReplay, "1")
+	if o.Omitted {
+		resp.SetStatusCode(fasthttp.StatusConflict)
+		resp.SetBodyString(`{"error":"call ran before and its answer was too large to keep"}`)
+		return verdict{resp: resp, ran: RanYes}
+	}
+	resp.SetStatusCode(o.Status)
+	resp.Header.SetContentType(o.Type)
+	resp.SetBody(o.Body)
+	return verdict{resp: resp, ran: RanYes}
+}
+
+// pass copies a server's answer to the caller's.
+func pass(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
+	strip(&resp.Header)
+	for _, name := range []string{HeaderRan, HeaderLoad, HeaderLeaving, HeaderShed} {
+		resp.Header.Del(name)
+	}
+	resp.Header.ResetConnectionClose()
+	resp.Header.CopyTo(&ctx.Response.Header)
+	ctx.Response.SkipBody = resp.SkipBody
+	ctx.Response.SwapBody(resp.SwapBody(nil))
+}
+
+// statuses gives the status for each reason of having no answer.
+var statuses = []struct {
+	cause  error
+	status int
+}{
+	{errNoService, fasthttp.StatusNotFound},
+	{errOff, fasthttp.StatusServiceUnavailable},
+	{errMethod, fasthttp.StatusNotImplemented},
+	{errNeedsKey, fasthttp.StatusPreconditionRequired},
+	{ErrDeadline, fasthttp.StatusBadRequest},
+	{ErrKey, fasthttp.StatusBadRequest},
+	{claimer.ErrMismatch, fasthttp.StatusUnprocessableEntity},
+	{claimer.ErrMayHaveRun, fasthttp.StatusConflict},
+	{claimer.ErrNoClaim, fasthttp.StatusServiceUnavailable},
+	{limiter.ErrTeam, fasthttp.StatusTooManyRequests},
+	{errOver, fasthttp.StatusGatewayTimeout},
+	{errSick, fasthttp.StatusBadGateway},
+}
+
+// refuse answers that the call has no answer of a server.
+func refuse(ctx *fasthttp.RequestCtx, err error, ran Ran) {
+	status := fasthttp.StatusServiceUnavailable
+	for _, s := range statuses {
+		if errors.Is(err, s.cause) {
+			status = s.status
+			break
+		}
+	}
+	body, jerr := json.Marshal(struct {
+		Error string `json:"error"`
+		Ran   string `json:"ran"`
+	}{err.Error(), ran.String()})
+	if jerr != nil {
+		body = nil
+	}
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+	ctx.Response.Header.Set(HeaderRan, ran.String())
+}
+
+// count takes an ended call into the tally.
+func (s *Service) count(x *exchange, v verdict, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch v.ran {
+	case RanNo:
+		s.tally.No++
+	case RanUnknown:
+		s.tally.Unknown++
+	case RanYes:
+		s.tally.Yes++
+	}
+	s.tally.Wanted += x.route.Weight()
+	switch {
+	case errors.Is(v.err, errGone):
+		s.tally.Gone++
+	case time.Now().After(x.deadline):
+		s.tally.Late++
+	case v.resp != nil && v.resp.StatusCode() < fasthttp.StatusInternalServerError:
+		s.tally.Weighted += x.route.Weight()
+	}
+	_ = took
+}
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,167 @@
+package reporter
+
+import (
+	"encoding/json"
+	"runtime"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"poplarwind/announcer"
+	"poplarwind/claimer"
+	"poplarwind/dispatcher"
+	"poplarwind/keeper"
+	"poplarwind/parser"
+	"poplarwind/prober"
+	"poplarwind/relayer"
+	"poplarwind/watcher"
+)
+
+// Sources are what a Reporter reads. All fields must be set.
+type Sources struct {
+	Process   *parser.Process
+	Start     time.Time
+	Ready     func() bool
+	Store     *keeper.Client
+	Follower  *watcher.Follower
+	Book      *watcher.Book
+	Table     *announcer.Table
+	Announcer *announcer.Announcer
+	Relayer   *relayer.Relayer
+	Prober    *prober.Prober
+	Claimer   *claimer.Claimer
+	Subset    func(*parser.Service) []announcer.Member
+}
+
+// Reporter answers operators.
+type Reporter struct {
+	sources Sources
+	metrics *Metrics
+	// scrape serves metrics.
+	scrape fasthttp.RequestHandler
+}
+
+// New returns a reporter of the sources.
+func New(s Sources, m *Metrics) *Reporter {
+	return &Reporter{sources: s, metrics: m, scrape: fasthttpadaptor.NewFastHTTPHandler(m.Handler())}
+}
+
+// Handle serves one question of an operator.
+func (r *Reporter) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/status":
+		answer(ctx, r.Status())
+	case "/dump":
+		answer(ctx, r.dump())
+	case "/ready":
+		if !r.sources.Ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case "/metrics":
+		r.scrape(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func answer(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// Status returns what the entry tells operators.
+func (r *Reporter) Status() Status {
+	s, p := r.sources, r.sources.Process
+	now := time.Now()
+	out := Status{
+		Name: p.Name(), Domain: p.Domain(), Region: p.Region(),
+		Ready: s.Ready(), Leaving: s.Table.Leaving(), Uptime: time.Since(s.Start).Seconds(),
+		Store: r.store(), Members: s.Table.Known(now), Peers: s.Announcer.Traffic(),
+		Settings: []SettingsStatus{}, Services: []ServiceStatus{},
+	}
+	out.Claims.Granted, out.Claims.Replayed, out.Claims.Refused, out.Claims.Dropped = s.Claimer.Counts()
+	out.Claims.Pending = s.Claimer.Pending()
+	for _, e := range s.Book.View().Entries() {
+		t := SettingsStatus{Path: e.Path(), Version: e.Version()}
+		if v, fault := e.Refused(); v > 0 {
+			t.Refused, t.Fault = v, fault.Error()
+		}
+		out.Settings = append(out.Settings, t)
+	}
+	for _, v := range s.Relayer.Services() {
+		out.Services = append(out.Services, r.service(v))
+	}
+	return out
+}
+
+func (r *Reporter) store() StoreStatus {
+	all, writes := r.sources.Store.Calls()
+	age := -1.0
+	if a := r.sources.Follower.Age(); a > 0 {
+		age = a.Seconds()
+	}
+	return StoreStatus{Age: age, Calls: all, Writes: writes}
+}
+
+func (r *Reporter) service(v *relayer.Service) ServiceStatus {
+	t := v.Tally()
+	out := ServiceStatus{
+		Path: v.Path(), No: t.No, Unknown: t.Unknown, Yes: t.Yes, Late: t.Late, Gone: t.Gone,
+		OnTime: 1, Probes: r.sources.Prober.Spent(v.Path()), Subset: []string{}, Servers: []ServerStatus{},
+	}
+	if t.Wanted > 0 {
+		out.OnTime = t.Weighted / t.Wanted
+	}
+	for _, m := range r.sources.Subset(v.Settings()) {
+		out.Subset = append(out.Subset, m.Name)
+		out.Carried = out.Carried || m.Name == r.sources.Process.Name()
+	}
+	v.Update(func(now time.Time, d *dispatcher.Dispatcher) {
+		c := d.Counts()
+		out.Waiting, out.Calls, out.Refused = d.Waiting(), c.Calls, c.Refused
+		out.Retries, out.Hedges = c.Retries, c.Hedges
+		for _, s := range d.Servers() {
+			load, _ := s.Reported()
+			out.Servers = append(out.Servers, ServerStatus{
+				Name: s.Name(), Addr: s.Addr(), Domain: s.Domain(), Flight: s.Own(), Free: s.Free(now), Load: load,
+				Leaving: s.Leaving(), Ejected: s.Ejected(now), Suspect: s.Suspect(now), Home: s.Home(),
+				Expected: millis(s.Expected()),
+			})
+		}
+	})
+	return out
+}
+
+// Dump is the whole state of a process.
+type Dump struct {
+	Status Status `json:"status"`
+	// Goroutines counts them; Heap is in bytes.
+	Goroutines int    `json:"goroutines"`
+	Heap       uint64 `json:"heap"`
+	Held       int    `json:"held"`
+	Conns      int    `json:"conns"`
+	// Digest is the digest of the settings in force.
+	Digest uint64 `json:"digest"`
+	// Objects are the settings in force, as the store holds them.
+	Objects []keeper.Object `json:"objects"`
+}
+
+func (r *Reporter) dump() Dump {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	v := r.sources.Book.View()
+	d := Dump{
+		Status: r.Status(), Goroutines: runtime.NumGoroutine(), Heap: m.HeapAlloc,
+		Held: r.sources.Relayer.Held(), Conns: r.sources.Relayer.Pool().Open(), Digest: v.Digest(),
+	}
+	for _, e := range v.Entries() {
+		d.Objects = append(d.Objects, e.Object())
+	}
+	return d
+}
--- /dev/null
+++ b/resolver/rank.go
@@ -0,0 +1,76 @@
+package resolver
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"poplarwind/announcer"
+)
+
+// score is the rendezvous hash of a key and a name.
+func score(key, name string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// Rank orders live entries for a service and returns how many of them come
+// first: at least want, in as many failure domains as there are, ranked by
+// rendezvous hashing. The others follow as fallbacks. The result is a new
+// slice.
+func Rank(service string, live []announcer.Member, want int) (ranked []announcer.Member, first int) {
+	ranked = slices.Clone(live)
+	slices.SortFunc(ranked, func(a, b announcer.Member) int {
+		return cmp.Or(
+			cmp.Compare(score(service, b.Name), score(service, a.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	first = min(want, len(ranked))
+	used := make(map[string]int)
+	for i := range first {
+		j := leastUsed(ranked[i:], used)
+		m := ranked[i+j]
+		ranked = slices.Insert(slices.Delete(ranked, i+j, i+j+1), i, m)
+		used[m.Domain]++
+	}
+	return ranked, first
+}
+
+// leastUsed returns the place of the first member whose failure domain is
+// used least.
+func leastUsed(members []announcer.Member, used map[string]int) int {
+	best := 0
+	for i, m := range members {
+		if used[m.Domain] < used[members[best].Domain] {
+			best = i
+		}
+	}
+	return best
+}
+
+// Width returns how many entries should carry a service: at least least, and
+// enough for its calls a second when one entry carries capacity of them.
+func Width(least int, calls, capacity float64) int {
+	if capacity <= 0 {
+		return least
+	}
+	return max(least, int(math.Ceil(calls/capacity)))
+}
+
+// Owner returns which of the members comes first for a server, or "" if there
+// are none. Each server has one owner, and owners share servers evenly.
+func Owner(server string, members []announcer.Member) string {
+	best, bestScore := "", uint64(0)
+	for _, m := range members {
+		if s := score(server, m.Name); best == "" || s > bestScore || s == bestScore && m.Name < best {
+			best, bestScore = m.Name, s
+		}
+	}
+	return best
+}
