--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -27,6 +27,8 @@
 type Pool struct {
 	// Dial bounds the opening of a connection, 0 meaning 250 ms.
 	Dial time.Duration
+	// Open opens a connection to addr, nil meaning over TCP.
+	Open func(ctx context.Context, addr string) (net.Conn, error)
 	// Buffer bounds the headers of an answer in bytes, 0 meaning 16 KiB.
 	Buffer int
 
@@ -101,11 +103,17 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	d := net.Dialer{Timeout: p.Dial}
-	if d.Timeout == 0 {
-		d.Timeout = defaultDial
+	limit := p.Dial
+	if limit == 0 {
+		limit = defaultDial
 	}
-	n, err := d.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	open := p.Open
+	if open == nil {
+		open = openTCP
+	}
+	n, err := open(ctx, addr)
 	if err != nil {
 		p.forget(addr)
 		return nil, errors.Trace(err)
@@ -119,6 +127,11 @@
 	return c, nil
 }
 
+func openTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // Put gives a connection back after an exchange that ended cleanly.
 func (p *Pool) Put(c *Conn) {
 	if c.read.Buffered() > 0 || c.write.Buffered() > 0 {
@@ -162,8 +175,8 @@
 	}
 }
 
-// Open returns how many connections there are in all.
-func (p *Pool) Open() int {
+// Count returns how many connections there are in all.
+func (p *Pool) Count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -63,7 +63,7 @@
 	}
 	conn.Deadline(x.deadline)
 	stop := context.AfterFunc(ctx, conn.Abort)
-	o.resp, o.err = x.converse(conn)
+	o.resp, o.err = x.converse(conn, a.Server().Addr())
 	o.sent = conn.Wrote()
 	reusable := stop() && o.err == nil && !o.resp.ConnectionClose()
 	if reusable {
@@ -78,14 +78,14 @@
 }
 
 // converse sends the request and reads the whole answer.
-func (x *exchange) converse(conn *pooler.Conn) (*fasthttp.Response, error) {
+func (x *exchange) converse(conn *pooler.Conn, addr string) (*fasthttp.Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	left := time.Until(x.deadline)
 	if left <= 0 {
 		return nil, context.DeadlineExceeded
 	}
-	outgoing(req, x.request, left)
+	outgoing(req, x.request, addr, left)
 	if err := conn.Send(req); err != nil {
 		return nil, err
 	}
--- a/relayer/header.go
+++ b/relayer/header.go
@@ -113,8 +113,9 @@
 }
 
 // outgoing fills dst with what a server is sent of the caller's request src,
-// with left of the deadline.
-func outgoing(dst, src *fasthttp.Request, left time.Duration) {
+// with left of the deadline. A request without a host, as old callers send,
+// gets the server's address for one.
+func outgoing(dst, src *fasthttp.Request, addr string, left time.Duration) {
 	src.Header.CopyTo(&dst.Header)
 	strip(&dst.Header)
 	for _, name := range []string{HeaderFirst, HeaderSpent, HeaderReplay, HeaderRan} {
@@ -123,5 +124,8 @@
 	dst.Header.Set(HeaderDeadline, left.Round(time.Microsecond).String())
 	dst.Header.ResetConnectionClose()
 	dst.UseHostHeader = true
+	if len(dst.Header.Host()) == 0 {
+		dst.Header.SetHost(addr)
+	}
 	dst.SetBodyRaw(src.Body())
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +31,8 @@
 	Header int
 	// Claims takes claims for idempotency keys.
 	Claims *claimer.Claimer
+	// Open opens connections to servers, nil meaning over TCP.
+	Open func(ctx context.Context, addr string) (net.Conn, error)
 	// Observe is told how each call ended, nil for nobody.
 	Observe func(service string, class parser.Class, ran Ran, took time.Duration)
 }
@@ -71,7 +74,7 @@
 	if o.Header == 0 {
 		o.Header = defaultHeader
 	}
-	r := &Relayer{options: o, shares: limiter.NewShares(o.Calls), pool: &pooler.Pool{Buffer: o.Header}}
+	r := &Relayer{options: o, shares: limiter.NewShares(o.Calls), pool: &pooler.Pool{Buffer: o.Header, Open: o.Open}}
 	r.view.Store(&watcher.View{})
 	return r
 }
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -158,7 +158,7 @@
 	v := r.sources.Book.View()
 	d := Dump{
 		Status: r.Status(), Goroutines: runtime.NumGoroutine(), Heap: m.HeapAlloc,
-		Held: r.sources.Relayer.Held(), Conns: r.sources.Relayer.Pool().Open(), Digest: v.Digest(),
+		Held: r.sources.Relayer.Held(), Conns: r.sources.Relayer.Pool().Count(), Digest: v.Digest(),
 	}
 	for _, e := range v.Entries() {
 		d.Objects = append(d.Objects, e.Object())
