runner: settings, kills, pauses and rolling replacement under test

Cause: the promises on settings, planned stops and at most once were not proved with whole processes.

What: real entries and servers killed and paused under load; every entry and server replaced in order under load; 19 entries through five ways in which the store goes wrong; a change that one entry alone saw before an outage; an entry that starts in the outage, now from 'seeds' in its settings, since neither list nor store answers then; a bad newest version; operators racing over lost answers; a paused entry. Listeners open in New so that the kernel may choose ports.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -35,9 +35,11 @@
 // errPeer reports that a peer gave no usable answer.
 const errPeer = errors.ConstError("peer gave no usable answer")
 
-// Options set an Announcer. All fields must be set.
+// Options set an Announcer. All fields but Seeds must be set.
 type Options struct {
-	Secret  []byte
+	Secret []byte
+	// Seeds are peers' addresses to speak to while no peer is known.
+	Seeds   []string
 	Beat    time.Duration
 	Control int
 	Book    *watcher.Book
@@ -98,6 +100,11 @@
 	for ctx.Err() == nil {
 		a.table.Tick(time.Now())
 		peers := a.table.Peers(time.Now())
+		if len(peers) == 0 {
+			for _, s := range a.options.Seeds {
+				peers = append(peers, Member{Peers: s})
+			}
+		}
 		a.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		for _, p := range peers[:min(fanout, len(peers))] {
 			go a.greet(ctx, p)
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -47,11 +47,15 @@
 	calls     int
 	writes    int
 	wake      chan struct{}
+	closed    chan struct{}
 	server    fasthttp.Server
 }
 
 // Serve answers on l until Close.
 func (p *Platform) Serve(l net.Listener) error {
+	p.mu.Lock()
+	p.closed = make(chan struct{})
+	p.mu.Unlock()
 	p.server.Handler = p.handle
 	p.server.MaxRequestBodySize = 2 << 20
 	p.server.ReadBufferSize = 64 << 10
@@ -60,7 +64,15 @@
 }
 
 // Close stops answering.
-func (p *Platform) Close() error { return p.server.Shutdown() }
+func (p *Platform) Close() error {
+	p.mu.Lock()
+	if p.closed != nil {
+		close(p.closed)
+		p.closed = nil
+	}
+	p.mu.Unlock()
+	return p.server.Shutdown()
+}
 
 // Set changes what goes wrong.
 func (p *Platform) Set(t Trouble) {
@@ -242,7 +254,7 @@
 		if p.wake == nil {
 			p.wake = make(chan struct{})
 		}
-		wake := p.wake
+		wake, closed := p.wake, p.closed
 		p.mu.Unlock()
 		if len(b.Changes) > 0 {
 			answer(ctx, b)
@@ -250,6 +262,9 @@
 		}
 		select {
 		case <-wake:
+		case <-closed:
+			answer(ctx, b)
+			return
 		case <-end.C:
 			answer(ctx, b)
 			return
--- a/parser/process.go
+++ b/parser/process.go
@@ -30,6 +30,7 @@
 	Drain    time.Duration `json:"drain"`
 	Resync   time.Duration `json:"resync"`
 	Control  int           `json:"control"`
+	Seeds    []string      `json:"seeds"`
 }
 
 const minSecret = 16
@@ -75,6 +76,11 @@
 			return nil, err
 		}
 	}
+	for i, a := range s.Seeds {
+		if err := d.checkAddress("seeds["+itoa(i)+"]", a); err != nil {
+			return nil, err
+		}
+	}
 	err := firstOf(
 		check(d, "calls", s.Calls, 1, 1<<20),
 		check(d, "conns", s.Conns, 1, 1<<20),
@@ -152,5 +158,9 @@
 // Resync returns the interval between full comparisons with the store.
 func (p *Process) Resync() time.Duration { return p.spec.Resync }
 
+// Seeds returns peers' addresses to speak to while no peer is known, for
+// instance because the platform is down.
+func (p *Process) Seeds() []string { return p.spec.Seeds }
+
 // Control returns the budget of peer messages, in bytes a second.
 func (p *Process) Control() int { return p.spec.Control }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"poplarwind/announcer"
@@ -39,6 +37,7 @@
 	claimer   *claimer.Claimer
 	roster    *Roster
 	reporter  *reporter.Reporter
+	doors     []door
 	// closing makes answers ask callers to open their next connection
 	// elsewhere.
 	closing atomic.Bool
@@ -46,15 +45,19 @@
 	lastCall atomic.Int64
 }
 
-// New puts a daemon together. It opens no socket yet.
+// New puts a daemon together and opens its listeners. A port of 0 is chosen
+// by the kernel and announced as it is.
 func New(p *parser.Process, log *slog.Logger) (*Runner, error) {
 	start := time.Now()
 	r := &Runner{process: p, log: log, book: &watcher.Book{}}
+	if err := r.open(); err != nil {
+		return nil, err
+	}
 	r.store = keeper.NewClient(p.Platform(), 0)
 	r.follower = watcher.NewFollower(r.book, r.store, p.Resync(), log)
 	r.table = announcer.NewTable(start, announcer.Member{
-		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(),
-		Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
+		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: r.doors[callers].addr(),
+		Peers: r.doors[peers].addr(), Ops: r.doors[ops].addr(), Epoch: start.UnixNano(),
 	}, p.Silence())
 	r.claimer = claimer.New(r.store, p.Name())
 	metrics, err := reporter.NewMetrics()
@@ -71,7 +74,7 @@
 	})
 	r.roster = &Roster{name: p.Name(), lister: r.store, table: r.table, relayer: r.relayer, subset: r.subset, log: log}
 	r.announcer = announcer.New(r.table, announcer.Options{
-		Secret: p.Secret(), Beat: p.Beat(), Control: p.Control(), Book: r.book,
+		Secret: p.Secret(), Seeds: p.Seeds(), Beat: p.Beat(), Control: p.Control(), Book: r.book,
 		Instances: r.roster.Instances, Learn: r.roster.Learn, Log: log,
 	})
 	r.prober = prober.New(prober.Options{
@@ -100,10 +103,7 @@
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, live := errgroup.WithContext(live)
-	servers, err := r.listen(g)
-	if err != nil {
-		return err
-	}
+	servers := r.serve(g)
 	duties := []func(context.Context) error{
 		r.follower.Watch, r.follower.Resync, r.configure, r.roster.Follow, r.roster.Spread,
 		r.announcer.Run, r.prober.Run, r.describe, r.claimer.Run, r.claimer.Run, r.trim,
@@ -111,7 +111,8 @@
 	for _, f := range duties {
 		g.Go(func() error { return f(live) })
 	}
-	r.log.Info("entry started", "name", r.process.Name(), "callers", r.process.Callers())
+	self, _ := r.table.Self()
+	r.log.Info("entry started", "callers", self.Callers, "peers", self.Peers, "ops", self.Ops)
 	select {
 	case <-ctx.Done():
 		r.leave(live)
@@ -122,88 +123,11 @@
 	}
 	r.flush()
 	stop()
-	err = g.Wait()
-	r.log.Info("entry stopped", "name", r.process.Name())
+	err := g.Wait()
+	r.log.Info("entry stopped")
 	return errors.Trace(err)
 }
 
-const (
-	slowSender   = 10 * time.Second
-	idleCaller   = time.Minute
-	peersBody    = announcer.MaxMessage
-	opsBody      = 1024
-	peersAndOps  = 256
-	smallHeaders = 8 << 10
-)
-
-// listen opens the three listeners.
-func (r *Runner) listen(g *errgroup.Group) ([]*fasthttp.Server, error) {
-	p := r.process
-	doors := []struct {
-		addr    string
-		handler fasthttp.RequestHandler
-		body    int
-		header  int
-		conns   int
-	}{
-		{p.Callers(), r.serveCaller, p.Body(), p.Header(), p.Conns()},
-		{p.Peers(), r.announcer.Handle, peersBody, smallHeaders, peersAndOps},
-		{p.Ops(), r.reporter.Handle, opsBody, smallHeaders, peersAndOps},
-	}
-	var servers []*fasthttp.Server
-	for _, d := range doors {
-		l, err := net.Listen("tcp", d.addr)
-		if err != nil {
-			return nil, errors.Annotate(err, "listening")
-		}
-		s := &fasthttp.Server{
-			Handler: d.handler, ErrorHandler: badRequest, MaxRequestBodySize: d.body, ReadBufferSize: d.header,
-			Concurrency: d.conns, ReadTimeout: slowSender, WriteTimeout: slowSender, IdleTimeout: idleCaller,
-			NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, CloseOnShutdown: true,
-			DisablePreParseMultipartForm: true, Logger: quiet{},
-		}
-		servers = append(servers, s)
-		g.Go(func() error { return s.Serve(l) })
-	}
-	return servers, nil
-}
-
-// quiet drops what fasthttp logs about single connections.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
-// badRequest answers a request that could not be read. It was not run.
-func badRequest(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	var small *fasthttp.ErrSmallBuffer
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &small):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	}
-	ctx.Response.Reset()
-	ctx.SetStatusCode(status)
-	ctx.Response.Header.Set(relayer.HeaderRan, relayer.RanNo.String())
-	ctx.SetContentType("application/json")
-	ctx.SetBodyString(`{"error":"request can't be read","ran":"no"}`)
-	ctx.SetConnectionClose()
-}
-
-func (r *Runner) serveCaller(ctx *fasthttp.RequestCtx) {
-	r.lastCall.Store(time.Now().UnixNano())
-	if string(ctx.Path()) == resolver.Path {
-		r.resolver.Handle(ctx)
-	} else {
-		r.relayer.Handle(ctx)
-	}
-	if r.closing.Load() {
-		ctx.SetConnectionClose()
-	}
-}
-
 // configure puts each new view of the settings in force.
 func (r *Runner) configure(ctx context.Context) error {
 	for {
@@ -270,7 +194,7 @@
 // then, once callers' answers have run out, it asks callers to move, and
 // waits until no call is in flight and none comes.
 func (r *Runner) leave(ctx context.Context) {
-	r.log.Info("entry leaving", "name", r.process.Name())
+	r.log.Info("entry leaving")
 	end := time.Now().Add(r.process.Drain())
 	r.announcer.Farewell(ctx)
 	stale := time.Now().Add(r.process.TTL())
