limiter, prober, announcer: teams apart, probes in budget, membership

Cause and change, each found by its new test: - A flood of one team took every place before another team asked: the bound counted only teams that held calls. A quarter of the capacity is now kept for teams evenly. Three quarters are now for a side that hears of most entries, the rest is parted among all.

Ruled out: an even split of probes over all entries, since two carriers of 17 would leave fifteen parts unused.

Conclusion: these hold for sides that do not overlap; views that overlap one way only can still overspend, which docs/PROOFS.md will list as partial.

--- a/announcer/table.go
+++ b/announcer/table.go
@@ -93,7 +93,7 @@
 	t.self.heard, t.self.direct = now, now
 	for name, r := range t.rows {
 		if paused > t.silence/2 {
-			r.heard = r.heard.Add(paused)
+			r.heard = earlier(now, r.heard.Add(paused))
 		}
 		if r != t.self && now.Sub(r.heard) > forgetAfter*t.silence {
 			delete(t.rows, name)
@@ -101,6 +101,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Describe changes what this entry tells of itself.
 func (t *Table) Describe(digest uint64, rates []Rate, marks []Mark) {
 	t.mu.Lock()
--- a/internal/faker/server.go
+++ b/internal/faker/server.go
@@ -53,8 +53,10 @@
 	runs  map[string]int
 	slots chan struct{}
 	busy  atomic.Int64
-	start time.Time
-	http  fasthttp.Server
+	// probes counts probes answered.
+	probes atomic.Int64
+	start  time.Time
+	http   fasthttp.Server
 }
 
 // Serve answers on l until Close.
@@ -87,6 +89,9 @@
 	return s.runs[id]
 }
 
+// Probes returns how many probes were answered.
+func (s *Server) Probes() int64 { return s.probes.Load() }
+
 func (s *Server) now() Mood {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,6 +108,7 @@
 		}
 		s.Set(m)
 	case strings.HasPrefix(path, "/probe"):
+		s.probes.Add(1)
 		s.mark(ctx, s.now())
 	default:
 		s.run(ctx)
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,98 @@
+package limiter
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "poplarwind/internal/seeder"
+)
+
+// TestSharesBound lets teams take and give back places: none holds more than
+// it may, the total stays within the capacity, and a team that holds less than
+// is kept for it is never turned away, however full the entry is.
+func TestSharesBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(4, 64).Draw(t, "capacity")
+		s := NewShares(capacity)
+		s.Expect(3)
+		held := make(map[string]int)
+		total := 0
+		team, burst := "", 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			if burst--; burst <= 0 {
+				team = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+				burst = rapid.IntRange(1, capacity).Draw(t, "burst")
+			}
+			if rapid.IntRange(0, 9).Draw(t, "what") == 0 && held[team] > 0 {
+				s.Release(team)
+				held[team]--
+				total--
+				continue
+			}
+			err := s.Admit(team, capacity, 1)
+			if err == nil {
+				held[team]++
+				total++
+			}
+			if err != nil && held[team] < s.Kept() {
+				t.Fatalf("%s holds %d of %d kept: got: %v want: a place", team, held[team], s.Kept(), err)
+			}
+			if total > capacity || total != s.Held() {
+				t.Fatalf("held: got: %d, %d want: at most %d, equal", total, s.Held(), capacity)
+			}
+		}
+	})
+}
+
+// TestBudgetShare spends at any times: extra work stays within its share of
+// calls and one burst.
+func TestBudgetShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
+		var b Budget
+		calls, spent := 0, 0
+		for _, call := range rapid.SliceOfN(rapid.Bool(), 1, 500).Draw(t, "calls") {
+			if call {
+				calls++
+				b.Earn(share)
+			} else if b.Spend() {
+				spent++
+			}
+		}
+		if float64(spent) > share*float64(calls)+1e-6 {
+			t.Fatalf("spent: got: %d want: at most %.2f", spent, share*float64(calls))
+		}
+	})
+}
+
+// TestList compares a list with a slice.
+func TestList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l List[int]
+		var want []*Node[int]
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(want) > 0 && rapid.Bool().Draw(t, "remove") {
+				k := rapid.IntRange(0, len(want)-1).Draw(t, "place")
+				if !l.Remove(want[k]) || l.Remove(want[k]) {
+					t.Fatal("remove: got: not once want: once")
+				}
+				want = append(want[:k:k], want[k+1:]...)
+			} else {
+				n := &Node[int]{Value: i}
+				l.Push(n)
+				want = append(want, n)
+			}
+			k := 0
+			for n := l.Front(); n != nil; n = n.Next() {
+				if k >= len(want) || n != want[k] {
+					t.Fatalf("place %d differs", k)
+				}
+				k++
+			}
+			if k != len(want) || l.Len() != k {
+				t.Fatalf("length: got: %d, %d want: %d", k, l.Len(), len(want))
+			}
+		}
+	})
+}
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -14,31 +14,50 @@
 )
 
 // Shares bounds the calls that an entry holds at once, as a whole and for
-// each team, so that no team's flood takes the place of another's calls. It
-// is safe for concurrent use.
+// each team. A quarter of the capacity is kept apart for teams evenly, so that
+// no team's flood takes the place of another's calls. It is safe for
+// concurrent use.
 type Shares struct {
 	// capacity is the bound on total, fixed at construction.
 	capacity int
 
 	mu sync.Mutex
-	// held counts each team's calls; total is their sum.
+	// teams counts the teams that have services, at least 1.
+	teams int
+	// held counts each team's calls, those above zero; total is their sum.
 	held  map[string]int
 	total int
 }
 
-// reserve is the part of the capacity that only teams below their even part
-// may use.
+// reserve is the part of the capacity that is kept apart for teams.
 const reserve = 0.25
 
 // NewShares returns shares of a capacity in calls.
 func NewShares(capacity int) *Shares {
-	return &Shares{capacity: capacity, held: make(map[string]int)}
+	return &Shares{capacity: capacity, teams: 1, held: make(map[string]int)}
 }
 
+// Expect says how many teams have services.
+func (s *Shares) Expect(teams int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.teams = max(1, teams)
+}
+
+// Kept returns how many calls are kept apart for each team.
+func (s *Shares) Kept() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kept()
+}
+
+func (s *Shares) kept() int { return int(reserve * float64(s.capacity) / float64(s.teams)) }
+
 // Admit takes a place for one call of the team, which may hold at most calls
-// and at most a share of the capacity. Release gives the place back. Once the
-// entry is three quarters full, a team that holds more than an even part of
-// the capacity gets no more.
+// and at most a share of the capacity. Release gives the place back. A team
+// gets the places kept for it whatever the others hold; further ones only from
+// what is not kept for others, and, once that runs short, only up to an even
+// part of the capacity.
 func (s *Shares) Admit(team string, calls int, share float64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,19 +69,36 @@
 	if s.total >= s.capacity {
 		return ErrEntry
 	}
-	present := len(s.held)
-	if n == 0 {
-		present++
-	}
-	scarce := float64(s.total) >= (1-reserve)*float64(s.capacity)
-	if scarce && present > 1 && n >= s.capacity/present {
-		return ErrTeam
+	if n >= s.kept() {
+		spare := s.capacity - s.total - s.owed(team)
+		if spare <= 0 {
+			return ErrEntry
+		}
+		short := float64(spare) < reserve*float64(s.capacity)
+		if short && s.teams > 1 && n >= s.capacity/s.teams {
+			return ErrTeam
+		}
 	}
 	s.held[team] = n + 1
 	s.total++
 	return nil
 }
 
+// owed returns how many places are kept for teams other than one and not
+// taken by them.
+func (s *Shares) owed(team string) int {
+	kept := s.kept()
+	others := s.teams - 1
+	sum := 0
+	for t, n := range s.held {
+		if t != team {
+			sum += max(0, kept-n)
+			others--
+		}
+	}
+	return sum + max(0, others)*kept
+}
+
 // Release gives back a place that Admit took.
 func (s *Shares) Release(team string) {
 	s.mu.Lock()
--- a/prober/budget.go
+++ b/prober/budget.go
@@ -53,3 +53,20 @@
 
 // Spent returns the cost so far.
 func (b *Budget) Spent() Spent { return b.spent }
+
+// majorityPart is the part of a budget that is spent where most entries hear
+// of one another. The rest is for those that are cut off from them.
+const majorityPart = 0.75
+
+// Part returns the part of a service's budget that one of the entries that
+// carry it may spend. Entries that are cut off from most others can't know
+// who else probes: each has an even part, among all listed entries, of what is
+// set aside for them, so that all sides together stay within the budget.
+func Part(carriers int, census func() (live, listed int)) float64 {
+	live, listed := census()
+	listed = max(listed, live)
+	if 2*live > listed {
+		return majorityPart / float64(max(1, carriers))
+	}
+	return (1 - majorityPart) / float64(listed)
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -26,7 +26,10 @@
 type Options struct {
 	Name string
 	// Subset returns the entries that carry a service.
-	Subset   func(*parser.Service) []announcer.Member
+	Subset func(*parser.Service) []announcer.Member
+	// Census returns how many entries this one hears of, itself among them,
+	// and how many there are by the platform's list.
+	Census   func() (live, listed int)
 	Services func() []*relayer.Service
 	Pool     *pooler.Pool
 }
@@ -113,11 +116,11 @@
 	return false
 }
 
-// start pays for a probe, unless one is under way. Each of the entries that
-// carry the service has an even part of its budget.
+// start pays for a probe, unless one is under way.
 func (p *Prober) start(s *parser.Service, t target, entries int) bool {
 	now := time.Now()
-	probes, bytes := s.ProbeRate()/float64(entries), s.ProbeBytes()/entries
+	part := Part(entries, p.options.Census)
+	probes, bytes := part*s.ProbeRate(), int(part*float64(s.ProbeBytes()))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.busy[t.addr] {
--- a/relayer/fault_test.go
+++ b/relayer/fault_test.go
@@ -18,6 +18,7 @@
 
 	"poplarwind/claimer"
 	"poplarwind/dispatcher"
+	_ "poplarwind/internal/seeder"
 	"poplarwind/keeper"
 	"poplarwind/watcher"
 )
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -101,6 +101,11 @@
 			s.configure(p)
 		}
 	}
+	teams := make(map[string]bool)
+	for path := range next {
+		teams[parser.TeamOf(path)] = true
+	}
+	r.shares.Expect(len(teams))
 	r.services = next
 	r.view.Store(v)
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "poplarwind/internal/seeder"
 	"poplarwind/keeper"
 )
 
@@ -90,12 +91,15 @@
 	// versions.
 	down, deaf bool
 	stale      int
+	// flaky fails each call whose number it divides, if it is not 0.
+	flaky, calls int
 }
 
 func (s *sick) seen() ([]keeper.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	s.calls++
+	if s.down || s.flaky > 0 && s.calls%s.flaky == 0 {
 		return nil, keeper.ErrUnavailable
 	}
 	return s.objects[:max(0, len(s.objects)-s.stale)], nil
@@ -158,12 +162,13 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		type step struct {
 			Write, Good, Down, Deaf bool
-			Stale                   int
+			Stale, Flaky            int
 		}
 		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 			return step{
 				rapid.Bool().Draw(t, "write"), rapid.Bool().Draw(t, "good"), rapid.Bool().Draw(t, "down"),
 				rapid.Bool().Draw(t, "deaf"), rapid.IntRange(0, 3).Draw(t, "stale"),
+				rapid.SampledFrom([]int{0, 2, 3, 5}).Draw(t, "flaky"),
 			}
 		}), 1, 10).Draw(rt, "steps")
 		pause := rapid.IntRange(1, 3000).Draw(rt, "pause")
@@ -186,7 +191,7 @@
 			}
 			for _, v := range steps {
 				s.mu.Lock()
-				s.down, s.deaf, s.stale = v.Down, v.Deaf, v.Stale
+				s.down, s.deaf, s.stale, s.flaky = v.Down, v.Deaf, v.Stale, v.Flaky
 				if v.Write {
 					n := uint64(len(s.objects) + 1)
 					s.objects = append(s.objects, object(n, v.Good))
@@ -199,7 +204,7 @@
 				look()
 			}
 			s.mu.Lock()
-			s.down, s.stale = false, 0
+			s.down, s.stale, s.flaky = false, 0, 0
 			s.mu.Unlock()
 			time.Sleep(10 * time.Second)
 			look()
@@ -214,3 +219,34 @@
 		}
 	})
 }
+
+// failing fails one listing of versions.
+type failing struct {
+	*sick
+	failed bool
+}
+
+func (f *failing) Versions(ctx context.Context, path string) ([]keeper.Stamp, error) {
+	if !f.failed {
+		f.failed = true
+		return nil, keeper.ErrUnavailable
+	}
+	return f.sick.Versions(ctx, path)
+}
+
+// TestLookBackIsRetried loses the answer that a refused newest version is
+// looked back with: the accepted one behind it comes into force all the same.
+func TestLookBackIsRetried(t *testing.T) {
+	s := &failing{sick: &sick{objects: []keeper.Object{object(1, true), object(2, true), object(3, false)}}}
+	var b Book
+	b.Offer(object(1, true))
+	f := NewFollower(&b, s, time.Second, slog.New(slog.DiscardHandler))
+	first := f.compare(context.Background())
+	second := f.compare(context.Background())
+	if first == nil || second != nil {
+		t.Errorf("comparisons: got: %v, %v want: an error, then none", first, second)
+	}
+	if got := b.View().Entries()[0].Version(); got != 2 {
+		t.Errorf("in force: got: %d want: 2", got)
+	}
+}
