--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,6 @@
 generate:
 	go generate ./...
 
-bench:
-	go test -count=1 -run TestPolicies -bench-report ./internal/bencher
+bench: build
+	@mkdir -p out
+	bin/poplarbench -svg out/bench.svg
