dispatcher: silent servers are ejected, and tried out with hedges

Cause (trace of losses by phase): with a failure domain gone, calls sent there hung to their deadline, freed their slots and were followed by others, since giving up counted as no failure; when the domain came back, ejection lasted up to 10 s, and 641 normal and 2108 bulk calls were refused in that phase.

Change: an attempt given up long overdue, with nothing heard from its server since, counts as a failure. A server is tried out after ejection with a hedge of an idempotent call, which harms none, so ejection ends within 1 s; services without hedges keep the patient way.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -67,6 +67,11 @@
 // Kind returns why the attempt is made.
 func (a *Attempt) Kind() Kind { return a.kind }
 
+// overdue reports whether the attempt takes far longer than its class does.
+func (a *Attempt) overdue(now time.Time) bool {
+	return a.typical > 0 && now.Sub(a.start) > suspectFactor*a.typical
+}
+
 // Call is one call as the dispatcher sees it. Its owner allocates it and
 // may use it again once no attempt of it is in flight.
 type Call struct {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -48,6 +48,14 @@
 	request picker.Request[*Server]
 	current *Call
 	counts  Counts
+	// sick counts servers that are, as of the last look.
+	sick int
+	// trial is a running call and the server that is to be tried out with it
+	// next, nil if there is none.
+	trial struct {
+		call   *Call
+		server *Server
+	}
 }
 
 // Counts are totals since the start.
@@ -82,6 +90,7 @@
 	}
 	for _, s := range d.servers {
 		s.slots = o.Slots
+		s.shadowed = o.Hedge > 0
 		s.ramp = max(s.ramp, 1)
 	}
 }
@@ -120,6 +129,9 @@
 // Next returns the next order, or false when there is nothing to do until
 // time passes or an attempt ends.
 func (d *Dispatcher) Next(now time.Time) (Order, bool) {
+	if o, ok := d.nextTrial(now); ok {
+		return o, true
+	}
 	for k := range d.queues {
 		if o, ok := d.nextOf(now, &d.queues[k]); ok {
 			d.waiting--
@@ -145,6 +157,7 @@
 		s := d.pick(now, c)
 		if s != nil {
 			q.Remove(n)
+			d.planTrial(now, c)
 			return d.order(now, c, s), true
 		}
 		if c.tries == 0 {
@@ -181,6 +194,31 @@
 	return Order{}, false
 }
 
+// planTrial makes a call that may run twice try out a server after its
+// ejection, beside its own attempt.
+func (d *Dispatcher) planTrial(now time.Time, c *Call) {
+	if d.sick == 0 || !c.repeat || c.tries > 0 || !d.hedgeBudget.Ready() {
+		return
+	}
+	for _, s := range d.servers {
+		if s.onTrial(now) {
+			d.trial.call, d.trial.server = c, s
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) nextTrial(now time.Time) (Order, bool) {
+	c, s := d.trial.call, d.trial.server
+	d.trial.call, d.trial.server = nil, nil
+	if c == nil || c.tries != 1 || c.Waiting() || c.tried(s) {
+		return Order{}, false
+	}
+	d.hedgeBudget.Spend()
+	c.want = Hedge
+	return d.order(now, c, s), true
+}
+
 func (d *Dispatcher) pick(now time.Time, c *Call) *Server {
 	d.current = c
 	d.request.Now = now
@@ -223,7 +261,11 @@
 	switch r {
 	case Answered:
 		s.heardAt = now
+		sick := s.sick()
 		s.good(latency)
+		if sick {
+			d.keepFloor(now)
+		}
 		d.learn(a.call.class, latency)
 	case Failed:
 		d.counts.Failed++
@@ -233,8 +275,11 @@
 		s.heardAt = now
 		s.report(now, max(load, s.slots))
 	case Dropped:
-		if latency > suspectFactor*a.typical {
-			s.expected = average(s.expected, latency)
+		if a.overdue(now) && !s.heardAt.After(a.start) {
+			// Nothing came from the server since: it may be gone.
+			d.counts.Failed++
+			s.bad(now)
+			d.keepFloor(now)
 		}
 	}
 }
--- a/dispatcher/fleet.go
+++ b/dispatcher/fleet.go
@@ -14,7 +14,7 @@
 		return s
 	}
 	d.Remove(name)
-	s := &Server{name: name, addr: addr, domain: domain, slots: d.options.Slots, ramp: d.options.Slots, home: home}
+	s := &Server{name: name, addr: addr, domain: domain, slots: d.options.Slots, ramp: d.options.Slots, shadowed: d.options.Hedge > 0, home: home}
 	if cold {
 		s.ramp, s.rampLeft = 1, rampStep
 	}
@@ -88,9 +88,9 @@
 	if f.Load >= 0 {
 		s.report(now, f.Load)
 	}
-	if s.Ejected(now) {
-		// A probe proves that the server answers, not that calls succeed:
-		// one call is let through.
+	if s.sick() {
+		// A probe proves that the server answers, not that calls succeed: it
+		// is tried out now.
 		s.ejected = now
 	}
 	d.keepFloor(now)
@@ -99,7 +99,11 @@
 // keepFloor lets ejection count only while enough servers are left.
 func (d *Dispatcher) keepFloor(now time.Time) {
 	present, kept := 0, 0
+	d.sick = 0
 	for _, s := range d.servers {
+		if s.sick() {
+			d.sick++
+		}
 		if s.Leaving() {
 			continue
 		}
@@ -110,7 +114,6 @@
 	}
 	short := float64(kept) < keptPart*float64(present)
 	for _, s := range d.servers {
-		s.floored = short && s.failures < 4*failuresToEject
-		s.floored = s.floored || kept == 0
+		s.floored = short
 	}
 }
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -10,7 +10,10 @@
 	// failuresToEject is how many failures in a row eject a server.
 	failuresToEject = 3
 	minEject        = 200 * time.Millisecond
-	maxEject        = 10 * time.Second
+	// maxEject bounds ejection where a server is tried out with a hedge, which
+	// harms no call; patientEject does where it takes a call of its own.
+	maxEject     = time.Second
+	patientEject = 10 * time.Second
 	// rampStep is how many answers raise a ramping server's limit by one.
 	rampStep = 2
 	// smoothing is the weight of the newest latency in an average.
@@ -43,7 +46,10 @@
 	ejected  time.Time
 	backoff  time.Duration
 	// floored is set while too few servers are left for ejection to count.
-	floored  bool
+	floored bool
+	// shadowed is set while hedges try out servers after their ejection, so
+	// that calls themselves need not.
+	shadowed bool
 	reported int
 	reportAt time.Time
 	ownAtRep int
@@ -72,7 +78,15 @@
 
 // Ejected reports whether the server is left out for its failures.
 func (s *Server) Ejected(now time.Time) bool {
-	return s.failures >= failuresToEject && now.Before(s.ejected)
+	return s.sick() && (s.shadowed || now.Before(s.ejected))
+}
+
+// sick reports whether the server failed too often since its last good answer.
+func (s *Server) sick() bool { return s.failures >= failuresToEject }
+
+// onTrial reports whether it is time to try the server out.
+func (s *Server) onTrial(now time.Time) bool {
+	return s.sick() && s.own == 0 && !s.Leaving() && !now.Before(s.ejected)
 }
 
 // Usable implements picker.View.
@@ -83,7 +97,7 @@
 // Free implements picker.View.
 func (s *Server) Free(now time.Time) int {
 	limit := min(s.ramp, s.slots)
-	if s.failures >= failuresToEject {
+	if s.sick() {
 		limit = 1
 	}
 	free := limit - s.own
@@ -109,8 +123,7 @@
 	if n == nil {
 		return false
 	}
-	a := n.Value
-	return a.typical > 0 && now.Sub(a.start) > suspectFactor*a.typical
+	return n.Value.overdue(now)
 }
 
 // Expected implements picker.View.
@@ -140,10 +153,14 @@
 // bad takes in a failure.
 func (s *Server) bad(now time.Time) {
 	s.failures++
-	if s.failures < failuresToEject {
+	if !s.sick() {
 		return
 	}
-	s.backoff = min(maxEject, max(minEject, 2*s.backoff))
+	longest := patientEject
+	if s.shadowed {
+		longest = maxEject
+	}
+	s.backoff = min(longest, max(minEject, 2*s.backoff))
 	s.ejected = now.Add(s.backoff)
 	s.ramp = 1
 	s.rampLeft = rampStep
