dispatcher: one call ahead of the slots while many wait

Cause: with late binding a slot is idle while its answer and the next call travel: 3 ms of 23 at a far server.

Change: while more calls wait than a quarter of all slots, a server may be sent one call beyond its slots.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -48,6 +48,8 @@
 	request picker.Request[*Server]
 	current *Call
 	counts  Counts
+	// ahead is what servers were last set to.
+	ahead int
 	// sick counts servers that are, as of the last look.
 	sick int
 	// trial is a running call and the server that is to be tried out with it
@@ -132,6 +134,7 @@
 	if o, ok := d.nextTrial(now); ok {
 		return o, true
 	}
+	d.setAhead()
 	for k := range d.queues {
 		if o, ok := d.nextOf(now, &d.queues[k]); ok {
 			d.waiting--
@@ -145,6 +148,25 @@
 	return d.nextHedge(now)
 }
 
+// aheadPart is the part of all slots that must be waited for before servers are
+// sent calls ahead.
+const aheadPart = 0.25
+
+// setAhead lets servers be sent a call ahead while many wait.
+func (d *Dispatcher) setAhead() {
+	ahead := 0
+	if float64(d.waiting) > aheadPart*float64(len(d.servers)*d.options.Slots) {
+		ahead = 1
+	}
+	if ahead == d.ahead {
+		return
+	}
+	d.ahead = ahead
+	for _, s := range d.servers {
+		s.ahead = ahead
+	}
+}
+
 // nextOf finds the first call of a queue that can be sent or must be refused.
 func (d *Dispatcher) nextOf(now time.Time, q *limiter.List[*Call]) (Order, bool) {
 	for n := q.Front(); n != nil; n = n.Next() {
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -47,6 +47,9 @@
 	backoff  time.Duration
 	// floored is set while too few servers are left for ejection to count.
 	floored bool
+	// ahead is how many calls may be sent beyond the slots, so that a slot is
+	// not idle while an answer and the next call travel.
+	ahead int
 	// shadowed is set while hedges try out servers after their ejection, so
 	// that calls themselves need not.
 	shadowed bool
@@ -97,8 +100,11 @@
 // Free implements picker.View.
 func (s *Server) Free(now time.Time) int {
 	limit := min(s.ramp, s.slots)
-	if s.sick() {
+	switch {
+	case s.sick():
 		limit = 1
+	case limit == s.slots:
+		limit += s.ahead
 	}
 	free := limit - s.own
 	if now.Sub(s.reportAt) < reportLife {
