dispatcher: no load reports while calls are sent ahead

A report is a round trip old and counts calls that have ended, so that under pressure it keeps slots empty.

Change: reports do not count while servers are sent calls ahead.

--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -107,7 +107,7 @@
 		limit += s.ahead
 	}
 	free := limit - s.own
-	if now.Sub(s.reportAt) < reportLife {
+	if s.ahead == 0 && now.Sub(s.reportAt) < reportLife {
 		others := max(0, s.reported-s.ownAtRep)
 		free = min(free, limit-s.own-others)
 	}
