relayer: requests with two lengths are refused; strangers under test

Cause: a request with Content-Length and Transfer-Encoding was relayed (200); the codec takes the chunks and drops the length, as the standard lets it, but a reader in front may not.

Change: such a request is answered 400, Poplar-Ran: no, and the connection closed. Found by testdata/strangers.txtar, which crosses 17 requests with the bounds; the other 16 held as they were. Also tested: peers' messages without the secret, secrets in status, dump and metrics, callers that hang up.

Ruled out: trusting the parsed headers, which no longer show the length.

Measured: before 200 yes, after 400 no; the rest of the file unchanged.

--- a/relayer/header.go
+++ b/relayer/header.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// conflicting reports whether raw headers give a body's length in two ways,
+// which entries and servers might read differently.
+func conflicting(raw []byte) bool {
+	length, chunks := false, false
+	for line := range bytes.Lines(raw) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		chunks = chunks || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	return length && chunks
+}
+
 // outgoing fills dst with what a server is sent of the caller's request src,
 // with left of the deadline. A request without a host, as old callers send,
 // gets the server's address for one.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -48,6 +48,7 @@
 	errNoService = errors.ConstError("no such service")
 	errOff       = errors.ConstError("service is withdrawn by its settings")
 	errMethod    = errors.ConstError("unknown method")
+	errLengths   = errors.ConstError("Content-Length and Transfer-Encoding conflict")
 	errNeedsKey  = errors.ConstError("route needs an " + HeaderKey)
 )
 
@@ -188,6 +189,10 @@
 	if !parser.KnownMethod(method) {
 		return target{}, nil, errMethod
 	}
+	if conflicting(ctx.Request.Header.RawHeaders()) {
+		ctx.SetConnectionClose()
+		return target{}, nil, errLengths
+	}
 	t, tail, err := r.find(string(ctx.Path()))
 	if err != nil {
 		return t, nil, err
@@ -307,6 +312,7 @@
 	{errNoService, fasthttp.StatusNotFound},
 	{errOff, fasthttp.StatusServiceUnavailable},
 	{errMethod, fasthttp.StatusNotImplemented},
+	{errLengths, fasthttp.StatusBadRequest},
 	{errNeedsKey, fasthttp.StatusPreconditionRequired},
 	{ErrDeadline, fasthttp.StatusBadRequest},
 	{ErrKey, fasthttp.StatusBadRequest},
@@ -334,7 +340,11 @@
 	if jerr != nil {
 		body = nil
 	}
+	hangUp := ctx.Response.ConnectionClose()
 	ctx.Response.Reset()
+	if hangUp {
+		ctx.SetConnectionClose()
+	}
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
