--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -36,13 +36,6 @@
 	version uint64
 }
 
-// settlement is the last write of one claim.
-type settlement struct {
-	claim Claim
-	// unsure says that the claim's own write was never confirmed.
-	unsure bool
-}
-
 const (
 	settleRing  = 4096
 	settleTries = 40
@@ -55,8 +48,8 @@
 type Claimer struct {
 	store Store
 	entry string
-	// pending holds settlements that Run is to write.
-	pending *ring.Ring[settlement]
+	// pending holds claims whose last record Run is to write.
+	pending *ring.Ring[Claim]
 	// open counts settlements that are neither written nor given up.
 	open     atomic.Int64
 	granted  atomic.Int64
@@ -67,7 +60,7 @@
 
 // New returns a claimer for the entry of the name.
 func New(s Store, entry string) *Claimer {
-	return &Claimer{store: s, entry: entry, pending: ring.New[settlement](settleRing)}
+	return &Claimer{store: s, entry: entry, pending: ring.New[Claim](settleRing)}
 }
 
 // Counts returns how many claims were granted, answered with a recorded
@@ -112,7 +105,7 @@
 		if sleeper.Sleep(ctx, poll); ctx.Err() != nil {
 			c.refused.Add(1)
 			if put {
-				c.settle(*cl, Void, nil, true)
+				c.settle(*cl, Void, nil)
 			}
 			if held {
 				return nil, nil, errors.Trace(ErrMayHaveRun)
@@ -165,37 +158,39 @@
 	if len(o.Body) > MaxBody {
 		o.Body, o.Omitted = nil, true
 	}
-	c.settle(*cl, Done, &o, false)
+	c.settle(*cl, Done, &o)
 }
 
 // Void gives back the claim of a call that did not run and never will.
-func (c *Claimer) Void(cl *Claim) { c.settle(*cl, Void, nil, false) }
+func (c *Claimer) Void(cl *Claim) { c.settle(*cl, Void, nil) }
 
 // Lose records that a call may have run and has no answer.
-func (c *Claimer) Lose(cl *Claim) { c.settle(*cl, Lost, nil, false) }
+func (c *Claimer) Lose(cl *Claim) { c.settle(*cl, Lost, nil) }
 
-func (c *Claimer) settle(cl Claim, s State, o *Outcome, unsure bool) {
+func (c *Claimer) settle(cl Claim, s State, o *Outcome) {
 	cl.record.State, cl.record.Outcome = s, o
 	c.open.Add(1)
-	c.pending.Push(settlement{claim: cl, unsure: unsure})
+	if c.pending.Push(cl) {
+		c.open.Add(-1)
+		c.gaveUp.Add(1)
+	}
 }
 
 // Run writes settlements until ctx ends. Several may run at once.
 func (c *Claimer) Run(ctx context.Context) error {
 	for {
-		s, ok := c.pending.Pop(ctx)
+		cl, ok := c.pending.Pop(ctx)
 		if !ok {
 			return nil
 		}
-		c.write(ctx, s)
+		c.write(ctx, cl)
 		c.open.Add(-1)
 	}
 }
 
 // write replaces the claim by its settlement. It stops as soon as the record
 // is no longer the claim of this attempt.
-func (c *Claimer) write(ctx context.Context, s settlement) {
-	cl := s.claim
+func (c *Claimer) write(ctx context.Context, cl Claim) {
 	wait := pollStart
 	for range settleTries {
 		_, err := c.store.Put(ctx, cl.path, cl.record.encode(), cl.version)
--- a/cmd/poplarctl/settings.go
+++ b/cmd/poplarctl/settings.go
@@ -208,6 +208,9 @@
 	if err != nil {
 		return errors.Annotate(err, path)
 	}
+	if len(stamps) == 0 {
+		return errors.Annotate(keeper.ErrAbsent, path)
+	}
 	lines := []line{}
 	for _, s := range stamps {
 		o, err := t.store.GetVersion(ctx, s.Path, s.Version)
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -316,3 +316,14 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(b)
 }
+
+// Post sends a body to a path of a stand-in that runs elsewhere.
+func Post(addr, path string, body []byte) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + addr + path)
+	req.SetBody(body)
+	return fasthttp.DoTimeout(req, resp, 5*time.Second)
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -41,18 +41,25 @@
 	}
 }
 
-// Push adds an item, dropping the oldest if the ring is full.
-func (r *Ring[T]) Push(item T) {
+// Push adds an item, dropping the oldest if the ring is full. It reports
+// whether it dropped one.
+func (r *Ring[T]) Push(item T) (dropped bool) {
 	r.mu.Lock()
 	r.init()
 	if r.count == r.size {
 		r.head = (r.head + 1) % r.size
 		r.count--
 		r.dropped++
+		dropped = true
 	}
 	r.items[(r.head+r.count)%r.size] = item
 	r.count++
 	r.mu.Unlock()
+	r.signal()
+	return dropped
+}
+
+func (r *Ring[T]) signal() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -63,6 +70,8 @@
 func (r *Ring[T]) Pop(ctx context.Context) (item T, ok bool) {
 	for {
 		if item, ok = r.TryPop(); ok {
+			// Another waiter may be needed for what is left.
+			r.signal()
 			return item, true
 		}
 		select {
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -128,7 +128,7 @@
 		r.err = ctx.Err()
 	}
 	if r.err != nil {
-		return errors.WithType(errors.Annotatef(r.err, "%s %s", method, path), ErrUnavailable)
+		return errors.Annotatef(errors.WithType(r.err, ErrUnavailable), "%v: %s %s", ErrUnavailable, method, path)
 	}
 	c.bytes.Add(int64(len(r.body) + len(body)))
 	switch {
--- a/parser/decode.go
+++ b/parser/decode.go
@@ -95,7 +95,7 @@
 			return d.fault(field, ErrType, "want a %s", dst.Kind())
 		}
 		if err := json.Unmarshal([]byte(l), dst.Addr().Interface()); err != nil {
-			return d.fault(field, ErrType, "got %s, want a %s", l, dst.Kind())
+			return d.fault(field, ErrType, "got: %s want: a %s", l, dst.Kind())
 		}
 		return nil
 	}
@@ -104,11 +104,11 @@
 func (d *document) duration(v *hujson.Value, dst reflect.Value, field string) error {
 	l, ok := v.Value.(hujson.Literal)
 	if !ok || l.Kind() != '"' {
-		return d.fault(field, ErrUnit, "want a duration with a unit, such as \"250ms\"")
+		return d.fault(field, ErrUnit, "got: %s want: a duration with a unit, such as \"250ms\"", v.Value)
 	}
 	t, err := time.ParseDuration(l.String())
 	if err != nil {
-		return d.fault(field, ErrUnit, "got %s, want a duration such as \"250ms\"", l)
+		return d.fault(field, ErrUnit, "got: %s want: a duration with a unit, such as \"250ms\"", l)
 	}
 	dst.SetInt(int64(t))
 	return nil
--- /dev/null
+++ b/pooler/pool_test.go
@@ -0,0 +1,130 @@
+package pooler
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// listen starts a server that answers each connection by f.
+func listen(t *testing.T, f func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// answerOnce answers one request and closes the connection without saying so.
+func answerOnce(c net.Conn) {
+	_, _ = c.Read(make([]byte, 4096))
+	_, _ = io.WriteString(c, okAnswer)
+	_ = c.Close()
+}
+
+func exchange(t *testing.T, p *Pool, addr string) (*Conn, error) {
+	t.Helper()
+	c, err := p.Get(context.Background(), addr, 2, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Deadline(time.Now().Add(5 * time.Second))
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("/x")
+	req.Header.SetHost("h")
+	if err := c.Send(&req); err != nil {
+		return c, err
+	}
+	return c, c.Receive(&resp, false, 1024)
+}
+
+// TestStaleConnection uses a pool whose server closes each connection at rest:
+// a closed one is never handed out.
+func TestStaleConnection(t *testing.T) {
+	addr := listen(t, answerOnce)
+	var p Pool
+	for i := range 20 {
+		c, err := exchange(t, &p, addr)
+		if err != nil {
+			t.Fatalf("exchange %d: got: %v want: none", i, err)
+		}
+		p.Put(c)
+		// Let the server's close arrive.
+		time.Sleep(5 * time.Millisecond)
+	}
+	if p.Count() > 1 {
+		t.Errorf("connections: got: %d want: at most 1", p.Count())
+	}
+}
+
+// TestLimit asks for more connections than a server may have.
+func TestLimit(t *testing.T) {
+	addr := listen(t, func(net.Conn) {})
+	var p Pool
+	for range 2 {
+		if _, err := p.Get(context.Background(), addr, 2, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := p.Get(context.Background(), addr, 2, false); err == nil {
+		t.Errorf("third: got: a connection want: %v", ErrBusy)
+	}
+}
+
+// TestRefusedIsUnsent dials a port where nothing listens, and gives the place
+// back.
+func TestRefusedIsUnsent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	var p Pool
+	for range 5 {
+		if _, err := p.Get(context.Background(), addr, 1, false); err == nil || err == ErrBusy {
+			t.Fatalf("got: %v want: a refused connection", err)
+		}
+	}
+	if p.Count() != 0 {
+		t.Errorf("connections: got: %d want: 0", p.Count())
+	}
+}
+
+// TestBounds reads answers that are too large.
+func TestBounds(t *testing.T) {
+	for _, v := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n",
+		"HTTP/1.1 200 OK\r\nX: " + string(make([]byte, 70<<10)),
+	} {
+		addr := listen(t, func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, v)
+			_, _ = c.Write(make([]byte, 5000))
+			_ = c.Close()
+		})
+		var p Pool
+		if _, err := exchange(t, &p, addr); err == nil {
+			t.Errorf("%.40q: got: an answer want: an error", v)
+		}
+	}
+}
--- /dev/null
+++ b/resolver/resolver_test.go
@@ -0,0 +1,102 @@
+package resolver
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"poplarwind/announcer"
+	_ "poplarwind/internal/seeder"
+)
+
+func members(n int) []announcer.Member {
+	out := make([]announcer.Member, 0, n)
+	for i := range n {
+		out = append(out, announcer.Member{Name: fmt.Sprintf("e%02d", i), Domain: string(rune('a' + i%3))})
+	}
+	return out
+}
+
+// TestRank ranks entries for services: all are there once, the first are in
+// different failure domains, order of input does not matter, and the loss of
+// one that is not among the first changes nothing among them.
+func TestRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(1, 30).Draw(t, "entries"))
+		want := rapid.IntRange(0, 5).Draw(t, "want")
+		service := rapid.StringMatching(`/[a-z]{1,8}/[a-z]{1,8}`).Draw(t, "service")
+		ranked, first := Rank(service, all, want)
+		if first != min(want, len(all)) || len(ranked) != len(all) {
+			t.Fatalf("got: %d of %d want: %d of %d", first, len(ranked), min(want, len(all)), len(all))
+		}
+		seen, domains := map[string]bool{}, map[string]bool{}
+		for i, m := range ranked {
+			seen[m.Name] = true
+			if i < first {
+				domains[m.Domain] = true
+			}
+		}
+		if len(seen) != len(all) || len(domains) < min(first, 3, len(all)) {
+			t.Fatalf("entries: got: %d in %d domains want: %d in %d", len(seen), len(domains), len(all), min(first, 3, len(all)))
+		}
+		again, _ := Rank(service, rapid.Permutation(all).Draw(t, "order"), want)
+		for i := range ranked {
+			if again[i].Name != ranked[i].Name {
+				t.Fatalf("place %d: got: %s want: %s", i, again[i].Name, ranked[i].Name)
+			}
+		}
+		if first < len(ranked) {
+			gone := ranked[rapid.IntRange(first, len(ranked)-1).Draw(t, "gone")].Name
+			var left []announcer.Member
+			for _, m := range all {
+				if m.Name != gone {
+					left = append(left, m)
+				}
+			}
+			after, n := Rank(service, left, want)
+			for i := range n {
+				if after[i].Name != ranked[i].Name {
+					t.Fatalf("without %s: place %d: got: %s want: %s", gone, i, after[i].Name, ranked[i].Name)
+				}
+			}
+		}
+	})
+}
+
+// TestSpread ranks many services: no entry comes first for far more than its
+// even part, and no owner has far more servers than another.
+func TestSpread(t *testing.T) {
+	all := members(17)
+	first, owned := map[string]int{}, map[string]int{}
+	for i := range 130 {
+		ranked, n := Rank(fmt.Sprintf("/team%d/service", i), all, 2)
+		for _, m := range ranked[:n] {
+			first[m.Name]++
+		}
+	}
+	for i := range 1000 {
+		owned[Owner(fmt.Sprint("server", i), all)]++
+	}
+	for _, m := range all {
+		if even := 130 * 2 / 17; first[m.Name] > 2*even {
+			t.Errorf("%s: first for: got: %d services want: at most %d", m.Name, first[m.Name], 2*even)
+		}
+		if even := 1000 / 17; owned[m.Name] > 2*even || owned[m.Name] < even/2 {
+			t.Errorf("%s: owns: got: %d servers want: about %d", m.Name, owned[m.Name], even)
+		}
+	}
+}
+
+// TestWidth widens a service's entries with its demand.
+func TestWidth(t *testing.T) {
+	for _, v := range []struct {
+		least           int
+		calls, capacity float64
+		want            int
+	}{{2, 0, 2000, 2}, {2, 3999, 2000, 2}, {2, 4001, 2000, 3}, {3, 100, 2000, 3}, {1, 20000, 2000, 10}, {2, 1e9, 0, 2}} {
+		if got := Width(v.least, v.calls, v.capacity); got != v.want {
+			t.Errorf("Width(%d, %v, %v): got: %d want: %d", v.least, v.calls, v.capacity, got, v.want)
+		}
+	}
+}
