capacity: what an idle entry spends at three sizes

Cause: docs/CAPACITY.md needs slopes that are measured.

What: 'make capacity' starts as many entries as real processes, lists servers and services without load, and reads one entry's processor time, memory, peer bytes and store calls over 15 s.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test bench added lint generate
+.PHONY: build demo test bench added capacity lint generate
 
 build:
 	@mkdir -p bin
@@ -24,3 +24,6 @@
 
 added: build
 	./scripts/added.sh
+
+capacity: build
+	./scripts/capacity.sh
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -41,8 +41,19 @@
 	}}
 }
 
-// Calls returns how many calls were sent and how many of them were writes.
-func (c *Client) Calls() (all, writes int64) { return c.calls.Load(), c.writes.Load() }
+// Usage is what was asked of the platform since the start.
+type Usage struct {
+	// Calls counts all calls, Writes those that write.
+	Calls  int64 `json:"calls"`
+	Writes int64 `json:"writes"`
+	// Bytes counts the bodies of calls and answers.
+	Bytes int64 `json:"bytes"`
+}
+
+// Usage returns what was asked of the platform since the start.
+func (c *Client) Usage() Usage {
+	return Usage{Calls: c.calls.Load(), Writes: c.writes.Load(), Bytes: c.bytes.Load()}
+}
 
 // Get implements Reader.
 func (c *Client) Get(ctx context.Context, path string) (Object, error) {
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -101,12 +101,11 @@
 }
 
 func (r *Reporter) store() StoreStatus {
-	all, writes := r.sources.Store.Calls()
 	age := -1.0
 	if a := r.sources.Follower.Age(); a > 0 {
 		age = a.Seconds()
 	}
-	return StoreStatus{Age: age, Calls: all, Writes: writes}
+	return StoreStatus{Age: age, Usage: r.sources.Store.Usage()}
 }
 
 func (r *Reporter) service(v *relayer.Service) ServiceStatus {
--- a/reporter/status.go
+++ b/reporter/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"poplarwind/announcer"
+	"poplarwind/keeper"
 	"poplarwind/prober"
 )
 
@@ -31,9 +32,8 @@
 type StoreStatus struct {
 	// Age is the time since its last answer, in seconds; negative if there
 	// was none.
-	Age    float64 `json:"age"`
-	Calls  int64   `json:"calls"`
-	Writes int64   `json:"writes"`
+	Age float64 `json:"age"`
+	keeper.Usage
 }
 
 // SettingsStatus tells which version of a path is in force.
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Cost of control: what one idle entry spends at several sizes of the whole.
+# Each size is ENTRIES:TEAMS:SERVERS, a team having ten services.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+base=${POPLAR_PORT:-23000}
+span=${SPAN:-15}
+beat=${BEAT:-500ms}
+silence=${SILENCE:-3s}
+out=out/capacity
+pids=()
+stop_all() { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; pids=(); }
+trap stop_all EXIT
+start() { local name=$1; shift; "$@" >"$out/$name.log" 2>&1 & pids+=($!); last=$!; }
+platform=127.0.0.1:$base
+export POPLARWIND_PLATFORM=$platform
+printf '%8s %8s %8s %10s %8s %12s %12s %10s %10s\n' entries services servers "core %" "RSS MB" "peer B/s out" "peer B/s in" "store/s" "store B/s"
+size() {
+  local entries=$1 teams=$2 servers=$3
+  rm -rf "$out" && mkdir -p "$out"
+  start platform bin/poplarfake platform -listen "$platform"
+  for _ in $(seq 50); do curl -sf -m 1 "http://$platform/v1/instances" >/dev/null && break; sleep 0.1; done
+  for i in $(seq 0 $((servers - 1))); do
+    echo "{\"name\":\"server-$i\",\"addr\":\"10.0.$((i / 250)).$((i % 250)):80\",\"domain\":\"d$((i % 6))\",\"service\":\"/team-$((i % teams))/service-$((i / teams % 10))\"}"
+  done >"$out/instances"
+  for i in $(seq 0 $((entries - 1))); do
+    c=$((base + 10 + 3 * i))
+    echo "{\"name\":\"entry-$i\",\"addr\":\"127.0.0.1:$c\",\"peers\":\"127.0.0.1:$((c + 1))\",\"ops\":\"127.0.0.1:$((c + 2))\",\"domain\":\"d$((i % 6))\"}"
+  done >>"$out/instances"
+  while read -r line; do printf 'next\nurl="http://%s/fake/instance"\ndata=%s\n' "$platform" "$(printf '%s' "$line" | sed 's/"/\\"/g; s/^/"/; s/$/"/')"; done <"$out/instances" | sed 1d >"$out/curl"
+  curl -sf -K "$out/curl" >/dev/null
+  for t in $(seq 0 $((teams - 1))); do
+    { echo "{\"/team-$t\": {}"; for s in $(seq 0 9); do echo ", \"/team-$t/service-$s\": {\"slots\": 3, \"routes\": [{\"match\": \"/a\", \"class\": \"urgent\"}]}"; done; echo "}"; } >"$out/team-$t.jsonc"
+    bin/poplarctl apply "$out/team-$t.jsonc" >/dev/null
+  done
+  for i in $(seq 0 $((entries - 1))); do
+    c=$((base + 10 + 3 * i))
+    echo "{\"name\": \"entry-$i\", \"domain\": \"d$((i % 6))\", \"callers\": \"127.0.0.1:$c\", \"peers\": \"127.0.0.1:$((c + 1))\", \"ops\": \"127.0.0.1:$((c + 2))\", \"platform\": \"$platform\", \"secret\": \"capacity-capacity\", \"beat\": \"$beat\", \"silence\": \"$silence\"}" >"$out/entry-$i.jsonc"
+    start "entry-$i" bin/poplarwind -settings "$out/entry-$i.jsonc"
+  done
+  local pid=$last ops=127.0.0.1:$((base + 10 + 3 * (entries - 1) + 2))
+  sleep 12
+  local a b
+  a=$(sample "$pid" "$ops")
+  sleep "$span"
+  b=$(sample "$pid" "$ops")
+  echo "$a $b $(awk '/VmRSS/ { print $2 }' "/proc/$pid/status")" | awk -v hz="$(getconf CLK_TCK)" -v e="$entries" -v v="$((teams * 10))" -v n="$servers" '{
+    t = $7 - $1; printf "%8d %8d %8d %10.2f %8.1f %12.0f %12.0f %10.1f %10.0f\n", e, v, n, ($8 - $2) / hz / t * 100, $13 / 1024, ($9 - $3) / t, ($10 - $4) / t, ($11 - $5) / t, ($12 - $6) / t }'
+  stop_all
+}
+# sample prints time, ticks, and totals of peer bytes and store calls.
+sample() {
+  local j
+  j=$(curl -sf -m 5 "http://$2/status")
+  echo "$(date +%s.%N) $(awk '{ print $14 + $15 }' "/proc/$1/stat") $(printf '%s' "$j" | sed -E 's/.*"peers":\{"sent":([0-9]+),"received":([0-9]+).*/\1 \2/') $(printf '%s' "$j" | sed -E 's/.*"store":\{"age":[^,]*,"calls":([0-9]+),"writes":[0-9]+,"bytes":([0-9]+).*/\1 \2/')"
+}
+for s in ${SIZES:-5:2:60 19:4:300 60:13:1000}; do IFS=: read -r e t n <<<"$s"; size "$e" "$t" "$n"; done
