--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -126,7 +126,7 @@
 
 // greet exchanges tables with one peer and pulls settings if they differ.
 func (a *Announcer) greet(ctx context.Context, p Member) {
-	h := a.hello(p.Name)
+	h := a.hello(p.Name, nil)
 	data, err := a.call(ctx, p, pathHello, h)
 	if err != nil {
 		return
@@ -142,14 +142,31 @@
 	}
 }
 
-func (a *Announcer) hello(peer string) Hello {
+// hello describes this entry to a peer, with the news that the peer does not
+// know already.
+func (a *Announcer) hello(peer string, known []Brief) Hello {
 	now := time.Now()
 	self, _ := a.table.Self()
 	a.mu.Lock()
 	owed := a.owed[peer]
 	delete(a.owed, peer)
 	a.mu.Unlock()
-	return Hello{From: self, News: a.table.News(now), Intro: a.table.Lookup(owed)}
+	return Hello{From: self, News: fresh(a.table.News(now), known), Intro: a.table.Lookup(owed)}
+}
+
+// fresh returns the news that is newer than what is known.
+func fresh(news, known []Brief) []Brief {
+	have := make(map[string]Brief, len(known))
+	for _, b := range known {
+		have[b.Name] = b
+	}
+	kept := news[:0]
+	for _, b := range news {
+		if h, ok := have[b.Name]; !ok || h.older(b) {
+			kept = append(kept, b)
+		}
+	}
+	return kept
 }
 
 // accept takes in a peer's hello and returns the names that it left unclear.
@@ -202,9 +219,9 @@
 
 // call sends one sealed message and returns the peer's sealed answer.
 func (a *Announcer) call(ctx context.Context, p Member, path string, message any) ([]byte, error) {
-	body, err := json.Marshal(message)
+	body, err := pack(message)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, err
 	}
 	if !a.budget.AllowN(time.Now(), min(a.budget.Burst(), len(body)+headerBytes)) {
 		a.skipped.Add(1)
@@ -233,7 +250,7 @@
 		a.refused.Add(1)
 		return nil, errPeer
 	}
-	return append([]byte(nil), resp.Body()...), nil
+	return unpack(resp.Body())
 }
 
 // Handle serves one message of a peer.
@@ -247,6 +264,12 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
+	body, err := unpack(body)
+	if err != nil {
+		a.refused.Add(1)
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
 	var answer any
 	switch string(path) {
 	case pathHello:
@@ -257,7 +280,7 @@
 			return
 		}
 		want := a.accept(h)
-		back := a.hello(h.From.Name)
+		back := a.hello(h.From.Name, h.News)
 		back.Want = want[:min(len(want), maxWants)]
 		answer = back
 	case pathPull:
@@ -272,7 +295,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	out, err := json.Marshal(answer)
+	out, err := pack(answer)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
--- a/announcer/message.go
+++ b/announcer/message.go
@@ -1,9 +1,13 @@
 package announcer
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"poplarwind/keeper"
 )
@@ -44,6 +48,32 @@
 	Instances []keeper.Instance `json:"instances,omitempty"`
 }
 
+// pack encodes a message. Names that recur make up most of it, so that it
+// shrinks to about a third.
+func pack(message any) ([]byte, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return fasthttp.AppendGzipBytesLevel(nil, body, fasthttp.CompressBestSpeed), nil
+}
+
+// unpack reverses pack up to the encoding. It reads no more than MaxMessage.
+func unpack(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.WithType(err, ErrMessage)
+	}
+	body, err := io.ReadAll(io.LimitReader(r, MaxMessage+1))
+	if err != nil {
+		return nil, errors.WithType(err, ErrMessage)
+	}
+	if len(body) > MaxMessage {
+		return nil, errors.Annotate(ErrMessage, "too large")
+	}
+	return body, nil
+}
+
 // ParseHello reads a Hello and checks its bounds.
 func ParseHello(data []byte) (Hello, error) {
 	var h Hello
--- a/cmd/poplarctl/entries.go
+++ b/cmd/poplarctl/entries.go
@@ -31,7 +31,7 @@
 	if t.entries != "" {
 		return strings.Split(t.entries, ","), nil
 	}
-	list, err := t.store.Instances(ctx)
+	list, _, err := t.store.Instances(ctx, "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -43,12 +43,14 @@
 	// log holds every write in order of version.
 	log       []keeper.Stamp
 	instances map[string]keeper.Instance
-	trouble   Trouble
-	calls     int
-	writes    int
-	wake      chan struct{}
-	closed    chan struct{}
-	server    fasthttp.Server
+	// listed counts changes of instances.
+	listed  int
+	trouble Trouble
+	calls   int
+	writes  int
+	wake    chan struct{}
+	closed  chan struct{}
+	server  fasthttp.Server
 }
 
 // Serve answers on l until Close.
@@ -89,6 +91,7 @@
 		p.instances = make(map[string]keeper.Instance)
 	}
 	p.instances[i.Name] = i
+	p.listed++
 }
 
 // Delist takes an instance off the list.
@@ -96,6 +99,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.instances, name)
+	p.listed++
 }
 
 // Load returns how many calls and how many writes were served.
@@ -133,7 +137,7 @@
 	case path == "/v1/watch":
 		p.watch(ctx, arg("prefix"), arg("after"), arg("wait"))
 	case path == "/v1/instances":
-		p.enlisted(ctx)
+		p.enlisted(ctx, arg("known"))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 	}
@@ -296,15 +300,23 @@
 	return b
 }
 
-func (p *Platform) enlisted(ctx *fasthttp.RequestCtx) {
+func (p *Platform) enlisted(ctx *fasthttp.RequestCtx, known string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	tag := strconv.Itoa(p.listed)
+	if tag == known {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
 	out := []keeper.Instance{}
 	for _, i := range p.instances {
 		out = append(out, i)
 	}
 	slices.SortFunc(out, func(a, b keeper.Instance) int { return strings.Compare(a.Name, b.Name) })
-	answer(ctx, out)
+	answer(ctx, struct {
+		Tag  string            `json:"tag"`
+		List []keeper.Instance `json:"list"`
+	}{tag, out})
 }
 
 func answer(ctx *fasthttp.RequestCtx, v any) {
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -109,10 +109,13 @@
 }
 
 // Instances implements Lister.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	var l []Instance
-	err := c.call(ctx, "GET", "/v1/instances", nil, nil, &l)
-	return l, err
+func (c *Client) Instances(ctx context.Context, known string) ([]Instance, string, error) {
+	l := struct {
+		Tag  string     `json:"tag"`
+		List []Instance `json:"list"`
+	}{}
+	err := c.call(ctx, "GET", "/v1/instances", url.Values{"known": {known}}, nil, &l)
+	return l.List, l.Tag, err
 }
 
 // reply is what one exchange with the platform gave.
@@ -145,6 +148,8 @@
 	switch {
 	case r.status == fasthttp.StatusPreconditionFailed:
 		return errors.Trace(ErrConflict)
+	case r.status == fasthttp.StatusNotModified:
+		return errors.Trace(ErrUnchanged)
 	case r.status == fasthttp.StatusNotFound:
 		return errors.Trace(ErrAbsent)
 	case r.status >= 500:
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -12,6 +12,8 @@
 	ErrConflict = errors.ConstError("object is at another version")
 	// ErrAbsent reports that there is no such object or version.
 	ErrAbsent = errors.ConstError("no such object")
+	// ErrUnchanged reports that a list is as it was when last read.
+	ErrUnchanged = errors.ConstError("list is unchanged")
 	// ErrUnavailable reports that the platform gave no answer in time. A
 	// write that ends so may have taken effect, or may still do so.
 	ErrUnavailable = errors.ConstError("platform gave no answer")
@@ -86,6 +88,8 @@
 
 // Lister lists instances.
 type Lister interface {
-	// Instances returns the platform's list of entries and servers.
-	Instances(ctx context.Context) ([]Instance, error)
+	// Instances returns the platform's list of entries and servers and the
+	// tag of its state. If the state is still that of the tag known, it
+	// returns ErrUnchanged.
+	Instances(ctx context.Context, known string) ([]Instance, string, error)
 }
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,6 +40,10 @@
 // Resolver answers callers. All fields of Options must be set.
 type Resolver struct {
 	options Options
+
+	mu sync.Mutex
+	// plan is what subsets are worked out from, nil before the first.
+	plan *plan
 }
 
 // Options set a Resolver.
@@ -55,13 +61,17 @@
 func New(o Options) *Resolver { return &Resolver{options: o} }
 
 // Subset returns the live entries that carry the service, in this entry's
-// region if there are any, and all live entries in order.
+// region if there are any, and all live entries in order. The slices are
+// shared and must not be changed; they stay the same while the membership
+// does.
 func (r *Resolver) Subset(s *parser.Service) (first, ranked []announcer.Member) {
-	live := r.options.Live()
-	near, far := split(live, r.options.Region)
-	ranked, n := Rank(s.Path(), near, Width(s.Subset(), demand(s.Path(), near), s.Rate()))
-	others, _ := Rank(s.Path(), far, 0)
-	return ranked[:n], append(ranked, others...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.plan == nil || now.After(r.plan.until) {
+		r.plan = r.plan.next(now, r.options.Live(), r.options.Region)
+	}
+	return r.plan.subset(s)
 }
 
 // split parts the members of a region from the others. If there are none, all
@@ -80,24 +90,12 @@
 	return near, far
 }
 
-// demand sums the calls a second that entries carry of a service.
-func demand(path string, members []announcer.Member) float64 {
-	sum := 0.0
-	for _, m := range members {
-		for _, rate := range m.Rates {
-			if rate.Path == path {
-				sum += rate.Calls
-			}
-		}
-	}
-	return sum
-}
-
 // Resolve answers for a service. Callers that take the first entry of their
 // answer spread over those that carry the service.
 func (r *Resolver) Resolve(s *parser.Service) Answer {
 	first, ranked := r.Subset(s)
 	n := len(first)
+	ranked = slices.Clone(ranked)
 	rand.Shuffle(n, func(i, j int) { ranked[i], ranked[j] = ranked[j], ranked[i] })
 	a := Answer{Service: s.Path(), First: n, TTL: r.options.TTL.Milliseconds(), Entries: []Address{}}
 	for _, m := range ranked {
--- a/runner/roster.go
+++ b/runner/roster.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"poplarwind/announcer"
 	"poplarwind/dispatcher"
 	"poplarwind/internal/sleeper"
@@ -31,9 +35,24 @@
 	mu sync.Mutex
 	// list is the platform's list as last seen, nil before.
 	list []keeper.Instance
-	// settled holds the services whose first servers were added: servers
-	// that come later start cold.
-	settled map[string]bool
+	// turn counts the lists that were learned.
+	turn int
+	// filled holds, for each service, what its servers were last set from.
+	// Only Step touches it.
+	filled map[string]basis
+}
+
+// basis is what a service's servers are set from. Equal ones give equal
+// servers.
+type basis struct {
+	turn int
+	// first and carriers tell the subset apart, by place and length.
+	first    *announcer.Member
+	carriers int
+	marks    string
+	// some says that the service had servers: those that come later start
+	// cold.
+	some bool
 }
 
 // Instances returns the platform's list as last seen, nil before.
@@ -47,18 +66,26 @@
 func (r *Roster) Learn(list []keeper.Instance) {
 	r.mu.Lock()
 	r.list = list
+	r.turn++
 	r.mu.Unlock()
 	r.table.Seed(time.Now(), list)
 }
 
 // Follow reads the platform's list until ctx ends.
 func (r *Roster) Follow(ctx context.Context) error {
+	tag := ""
 	for ctx.Err() == nil {
-		list, err := r.lister.Instances(ctx)
-		if err != nil {
-			r.log.Warn("instance list unavailable", "error", err.Error())
-		} else {
+		list, now, err := r.lister.Instances(ctx, tag)
+		switch {
+		case err == nil:
+			tag = now
 			r.Learn(list)
+		case errors.Is(err, keeper.ErrUnchanged):
+			// Entries that were cut off for long are forgotten meanwhile, and
+			// the list may be all that is left of them.
+			r.table.Seed(time.Now(), r.Instances())
+		default:
+			r.log.Warn("instance list unavailable", "error", err.Error())
 		}
 		sleeper.Sleep(ctx, listEvery)
 	}
@@ -79,7 +106,9 @@
 
 // Step brings servers in step once.
 func (r *Roster) Step(now time.Time) {
-	list := r.Instances()
+	r.mu.Lock()
+	list, turn := r.list, r.turn
+	r.mu.Unlock()
 	if list == nil {
 		return
 	}
@@ -91,39 +120,51 @@
 	}
 	marks := r.marks(now)
 	for _, s := range r.relayer.Services() {
-		r.fill(s, byService[s.Path()], marks)
+		r.fill(s, turn, byService[s.Path()], marks)
 	}
 }
 
-func (r *Roster) marks(now time.Time) map[announcer.Mark]bool {
-	out := make(map[announcer.Mark]bool)
+// marks returns the servers that other entries saw leaving, by service.
+func (r *Roster) marks(now time.Time) map[string][]string {
+	out := make(map[string][]string)
 	for _, m := range r.table.Live(now) {
 		if m.Name == r.name {
 			continue
 		}
 		for _, k := range m.Marks {
-			out[k] = true
+			if !slices.Contains(out[k.Path], k.Server) {
+				out[k.Path] = append(out[k.Path], k.Server)
+			}
 		}
 	}
 	return out
 }
 
-// fill sets the servers of one service.
-func (r *Roster) fill(s *relayer.Service, list []keeper.Instance, marks map[announcer.Mark]bool) {
+// fill sets the servers of one service, unless nothing changed for it.
+func (r *Roster) fill(s *relayer.Service, turn int, list []keeper.Instance, marks map[string][]string) {
 	subset := r.subset(s.Settings())
-	r.mu.Lock()
-	if r.settled == nil {
-		r.settled = make(map[string]bool)
+	marked := marks[s.Path()]
+	slices.Sort(marked)
+	now := basis{turn: turn, carriers: len(subset), marks: strings.Join(marked, " ")}
+	if len(subset) > 0 {
+		now.first = &subset[0]
 	}
-	cold := r.settled[s.Path()]
-	r.settled[s.Path()] = cold || len(list) > 0
-	r.mu.Unlock()
+	before := r.filled[s.Path()]
+	now.some = before.some || len(list) > 0
+	if now == before {
+		return
+	}
+	if r.filled == nil {
+		r.filled = make(map[string]basis)
+	}
+	r.filled[s.Path()] = now
+	cold := before.some
 	s.Update(func(_ time.Time, d *dispatcher.Dispatcher) {
 		present := make(map[string]bool, len(list))
 		for _, i := range list {
 			present[i.Name] = true
 			d.Add(i.Name, i.Addr, i.Domain, resolver.Owner(i.Name, subset) == r.name, cold)
-			d.Told(i.Name, i.Leaving, marks[announcer.Mark{Path: s.Path(), Server: i.Name}])
+			d.Told(i.Name, i.Leaving, slices.Contains(marked, i.Name))
 		}
 		for _, v := range d.Servers() {
 			if !present[v.Name()] {
