relayer: an answer is released only after it was counted

Cause (race detector): the count of a call read the status of an answer that had gone back to the codec's pool and was already another call's.

Change: released at the end of the call.

Also: 'make claims', and one script for the measurements with one entry.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test bench added capacity lint generate
+.PHONY: build demo test bench added capacity claims race lint generate
 
 build:
 	@mkdir -p bin
@@ -27,3 +27,9 @@
 
 capacity: build
 	./scripts/capacity.sh
+
+race:
+	go test -race -count=1 ./relayer ./runner ./announcer ./watcher ./prober ./resolver ./pooler ./limiter ./dispatcher ./internal/ring
+
+claims: build
+	./scripts/claims.sh
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -146,8 +146,8 @@
 	defer r.shares.Release(s.settings.Team())
 	v := r.carry(x)
 	if v.resp != nil {
+		defer fasthttp.ReleaseResponse(v.resp)
 		pass(ctx, v.resp)
-		fasthttp.ReleaseResponse(v.resp)
 		ctx.Response.Header.Set(HeaderRan, v.ran.String())
 	} else {
 		refuse(ctx, v.err, v.ran)
@@ -155,7 +155,7 @@
 	if x.spent {
 		ctx.Response.Header.Set(HeaderSpent, "1")
 	}
-	s.service.count(x, v, time.Since(start))
+	s.service.count(x, v)
 	if r.options.Observe != nil {
 		r.options.Observe(s.service.path, x.route.Class(), v.ran, time.Since(start))
 	}
@@ -352,7 +352,7 @@
 }
 
 // count takes an ended call into the tally.
-func (s *Service) count(x *exchange, v verdict, took time.Duration) {
+func (s *Service) count(x *exchange, v verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch v.ran {
@@ -372,5 +372,4 @@
 	case v.resp != nil && v.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		s.tally.Weighted += x.route.Weight()
 	}
-	_ = took
 }
