--- a/parser/decode.go
+++ b/parser/decode.go
@@ -125,6 +125,9 @@
 	return nil
 }
 
+// defaulter is an element of an array whose absent fields do not mean zero.
+type defaulter interface{ setDefaults() }
+
 func (d *document) array(v *hujson.Value, dst reflect.Value, field string) error {
 	a, ok := v.Value.(*hujson.Array)
 	if !ok {
@@ -132,6 +135,9 @@
 	}
 	dst.Set(reflect.MakeSlice(dst.Type(), len(a.Elements), len(a.Elements)))
 	for i := range a.Elements {
+		if e, ok := dst.Index(i).Addr().Interface().(defaulter); ok {
+			e.setDefaults()
+		}
 		err := d.value(&a.Elements[i], dst.Index(i), fmt.Sprintf("%s[%d]", field, i))
 		if err != nil {
 			return err
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -124,7 +124,7 @@
 	}
 	for _, v := range tests {
 		r := s.Route(v.method, v.path)
-		if r.Class() != v.class && v.path != "/search" || r.Idempotent() != v.idempotent || r.KeyRequired() != v.key {
+		if r.Class() != v.class || r.Idempotent() != v.idempotent || r.KeyRequired() != v.key {
 			t.Errorf("%s %s: got: %v %v %v want: %v", v.method, v.path, r.Class(), r.Idempotent(), r.KeyRequired(), v)
 		}
 	}
--- a/parser/service.go
+++ b/parser/service.go
@@ -52,6 +52,11 @@
 	Weight     float64       `json:"weight"`
 }
 
+func (r *routeSpec) setDefaults() {
+	r.Class = Normal
+	r.Weight = 1
+}
+
 // Methods that callers may use.
 var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
@@ -145,9 +150,6 @@
 	if r.Deadline == 0 {
 		r.Deadline = s.Deadline
 	}
-	if r.Weight == 0 {
-		r.Weight = 1
-	}
 	return firstOf(
 		check(d, field+"deadline", r.Deadline, time.Millisecond, maxDeadline),
 		check(d, field+"weight", r.Weight, 0, 1000),
