--- a/relayer/fault_test.go
+++ b/relayer/fault_test.go
@@ -496,3 +496,35 @@
 		})
 	}
 }
+
+// TestKeyOfAnotherRequest sends one key with two bodies: the second request is
+// refused, and the first one's answer is not given to it.
+func TestKeyOfAnotherRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{runs: map[string]int{}, objects: map[string][]keeper.Object{}}
+		r := w.entry(ctx, "e1")
+		first := send(r, "POST", "one", "key")
+		time.Sleep(time.Second)
+		var req fasthttp.Request
+		req.Header.SetMethod("POST")
+		req.SetRequestURI("/t/s/orders")
+		req.Header.Set("Request-Id", "two")
+		req.Header.Set(HeaderKey, "key")
+		req.SetBodyString("two amplifiers")
+		var c fasthttp.RequestCtx
+		c.Init(&req, nil, nil)
+		r.Handle(&c)
+		if first.status != 200 || c.Response.StatusCode() != fasthttp.StatusUnprocessableEntity || w.runs["two"] != 0 {
+			t.Errorf("got: %v, then %s, %d runs want: 200, then 422, 0", first, c.Response.String(), w.runs["two"])
+		}
+		again := send(r, "POST", "one", "key")
+		if again != first || w.runs["one"] != 1 {
+			t.Errorf("repeated: got: %v, %d runs want: %v, 1", again, w.runs["one"], first)
+		}
+		cancel()
+		for _, c := range w.closing {
+			_ = c.Close()
+		}
+	})
+}
--- a/relayer/service.go
+++ b/relayer/service.go
@@ -4,6 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
 	"poplarwind/dispatcher"
 	"poplarwind/parser"
 	"poplarwind/pooler"
@@ -99,3 +102,26 @@
 	}
 	s.pump(now)
 }
+
+// count takes an ended call into the tally.
+func (s *Service) count(x *exchange, v verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch v.ran {
+	case RanNo:
+		s.tally.No++
+	case RanUnknown:
+		s.tally.Unknown++
+	case RanYes:
+		s.tally.Yes++
+	}
+	s.tally.Wanted += x.route.Weight()
+	switch {
+	case errors.Is(v.err, errGone):
+		s.tally.Gone++
+	case time.Now().After(x.deadline):
+		s.tally.Late++
+	case v.resp != nil && v.resp.StatusCode() < fasthttp.StatusInternalServerError:
+		s.tally.Weighted += x.route.Weight()
+	}
+}
--- a/runner/strangers_test.go
+++ b/runner/strangers_test.go
@@ -170,3 +170,40 @@
 	_ = c.Close()
 	eventually(t, "given up", settle, func() bool { return inFlight() == 0 })
 }
+
+// TestSlowSenders dribbles requests: each connection is closed in time, and
+// other callers are served meanwhile.
+func TestSlowSenders(t *testing.T) {
+	t.Parallel()
+	b, e := strangerBed(t)
+	defer b.close()
+	ends := make(chan error, 20)
+	for i := range cap(ends) {
+		c, err := net.Dial("tcp", e.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		start := "POST /t/s/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n"
+		if i%2 == 0 {
+			start += "\r\n"
+		}
+		go func() {
+			for _, err = io.WriteString(c, start); err == nil; time.Sleep(500 * time.Millisecond) {
+				_, err = io.WriteString(c, "x")
+			}
+			ends <- err
+		}()
+	}
+	if got := converse(t, e.Callers, "GET /t/s/x HTTP/1.1\r\nHost: h\r\n\r\n"); got != "200 yes" {
+		t.Errorf("another caller: got: %s want: 200 yes", got)
+	}
+	limit := time.After(2*slowSender + settle)
+	for range cap(ends) {
+		select {
+		case <-ends:
+		case <-limit:
+			t.Fatal("a slow sender: got: still connected want: closed")
+		}
+	}
+}
