poplarctl: claim tells whether a call with a key ran; bench takes tuning

Change: 'poplarctl claim PATH KEY'; the bench's product policy takes subset, hedge, slots, queue and probes as flags (defaults as before).

Ruled out: a command that voids a claim: a paused holder might still send.

Measured: scripted tests green; TestSameEveryTime green.

--- a/cmd/poplarbench/main.go
+++ b/cmd/poplarbench/main.go
@@ -31,14 +31,19 @@
 	uses := flag.String("use", "0.5,0.7,0.85,0.95,1.2", "parts of what the servers can do, by comma")
 	policies := flag.String("policies", strings.Join(bencher.Policies, ","), "policies, by comma")
 	svg := flag.String("svg", "", "`file` for a plot of p99 by use")
-	flag.IntVar(&bencher.Subset, "subset", bencher.Subset, "entries that carry a service under the product's policy")
+	var tuning bencher.Tuning
+	flag.IntVar(&tuning.Subset, "subset", 0, "entries that carry a service, 0 for 2")
+	flag.Float64Var(&tuning.Hedge, "hedge", 0, "share of calls that may be hedged, 0 for 0.04, -1 for none")
+	flag.IntVar(&tuning.Slots, "slots", 0, "what settings say of a server's slots, 0 for the truth")
+	flag.IntVar(&tuning.Queue, "queue", 0, "calls that may wait at an entry, 0 for 512")
+	flag.Float64Var(&tuning.Probes, "probes", 0, "probes a second, 0 for 2, -1 for none")
 	flag.Parse()
 	var cells []*cell
 	for _, s := range []bencher.Shape{bencher.Coastline, bencher.Kalame} {
 		for _, faults := range []bool{false, true} {
 			for u := range strings.SplitSeq(*uses, ",") {
 				for p := range strings.SplitSeq(*policies, ",") {
-					c := &cell{trial: bencher.Trial{Shape: s, Policy: p, Spread: *spread, Faults: faults, For: *span}}
+					c := &cell{trial: bencher.Trial{Shape: s, Policy: p, Spread: *spread, Faults: faults, For: *span, Tuning: tuning}}
 					if _, err := fmt.Sscan(u, &c.trial.Use); err != nil {
 						fmt.Fprintln(os.Stderr, "poplarbench: -use:", err)
 						os.Exit(2)
--- a/cmd/poplarctl/main.go
+++ b/cmd/poplarctl/main.go
@@ -65,6 +65,7 @@
 	}},
 	{"history", "PATH", "list the versions of a path", (*tool).history, nil},
 	{"status", "", "show entries, services and settings in force", (*tool).status, nil},
+	{"claim", "PATH KEY", "tell whether the call with an idempotency key ran", (*tool).claim, nil},
 	{"dump", "ENTRY", "print the whole state of one entry, by name or operators' address", (*tool).dump, nil},
 }
 
--- a/internal/bencher/sim.go
+++ b/internal/bencher/sim.go
@@ -1,6 +1,7 @@
 package bencher
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -46,6 +47,34 @@
 	// loss of a failure domain's servers.
 	Faults bool
 	For    time.Duration
+	// Tuning is of the product's policy.
+	Tuning Tuning
+}
+
+// Tuning holds settings of a service under the product's policy. Its zero
+// value is what the tables of the pages are measured with.
+type Tuning struct {
+	// Subset is how many entries carry the service, 0 meaning 2.
+	Subset int
+	// Hedge is the share of calls that may be hedged, 0 meaning 0.04 and a
+	// negative one none.
+	Hedge float64
+	// Slots is what settings say of a server's slots, 0 meaning the truth.
+	Slots int
+	// Queue is how many calls may wait at an entry, 0 meaning 512.
+	Queue int
+	// Probes is the budget of probes a second, 0 meaning 2 and a negative one
+	// none.
+	Probes float64
+}
+
+func (t Tuning) fill(s Shape) Tuning {
+	t.Subset = cmp.Or(t.Subset, 2)
+	t.Hedge = max(0, cmp.Or(t.Hedge, 0.04))
+	t.Slots = cmp.Or(t.Slots, s.Slots)
+	t.Queue = cmp.Or(t.Queue, 512)
+	t.Probes = max(0, cmp.Or(t.Probes, 2))
+	return t
 }
 
 // Policies are the names that Trial takes, baselines first.
@@ -151,6 +180,7 @@
 
 // Run plays one trial.
 func Run(t Trial) Result {
+	t.Tuning = t.Tuning.fill(t.Shape)
 	s := &sim{trial: t, random: rand.New(rand.NewPCG(t.Seed, 7))}
 	s.result.Hist = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	s.result.bulk = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
@@ -219,10 +249,10 @@
 	for i := range t.Shape.Entries {
 		members = append(members, announcer.Member{Name: fmt.Sprintf("e%02d", i), Domain: fmt.Sprint(i % domains)})
 	}
-	subset, n := resolver.Rank("/t/"+t.Shape.Name, members, subsetOf(t.Policy, t.Shape.Entries))
+	subset, n := resolver.Rank("/t/"+t.Shape.Name, members, t.subset())
 	for i, m := range members {
 		e := &entry{sim: s, domain: i % domains, dispatch: dispatcher.New(s.options())}
-		e.budget = prober.NewBudget(2*prober.Part(n, func() (int, int) { return len(members), len(members) }), 4096)
+		e.budget = prober.NewBudget(t.Tuning.Probes*prober.Part(n, func() (int, int) { return len(members), len(members) }), 4096)
 		for _, v := range s.servers {
 			name := fmt.Sprint("s", v.id)
 			home := resolver.Owner(name, subset[:n]) == m.Name
@@ -240,17 +270,15 @@
 	}
 }
 
-// Subset is how many entries carry a service under the product's policy.
-var Subset = 2
-
-func subsetOf(policy string, entries int) int {
-	switch policy {
+// subset is how many entries carry the service.
+func (t Trial) subset() int {
+	switch t.Policy {
 	case "product":
-		return Subset
+		return t.Tuning.Subset
 	case "truth":
 		return 1
 	}
-	return entries
+	return t.Shape.Entries
 }
 
 // unbounded is a limit that is never reached: baselines send at once.
@@ -273,7 +301,8 @@
 	case "truth":
 		o.Policy = &Truth{sim: s}
 	default:
-		o = dispatcher.Options{Slots: s.trial.Shape.Slots, Queue: 512, Hedge: 0.04, Retry: 0.01}
+		t := s.trial.Tuning
+		o = dispatcher.Options{Slots: t.Slots, Queue: t.Queue, Hedge: t.Hedge, Retry: 0.01}
 	}
 	return o
 }
--- a/relayer/fault_test.go
+++ b/relayer/fault_test.go
@@ -518,6 +518,9 @@
 		if first.status != 200 || c.Response.StatusCode() != fasthttp.StatusUnprocessableEntity || w.runs["two"] != 0 {
 			t.Errorf("got: %v, then %s, %d runs want: 200, then 422, 0", first, c.Response.String(), w.runs["two"])
 		}
+		if s, err := claimer.Lookup(ctx, w, "/t/s", "key"); err != nil || s.State != claimer.Done || s.Status != 200 {
+			t.Errorf("lookup: got: %+v, %v want: done, 200", s, err)
+		}
 		again := send(r, "POST", "one", "key")
 		if again != first || w.runs["one"] != 1 {
 			t.Errorf("repeated: got: %v, %d runs want: %v, 1", again, w.runs["one"], first)
