relayer: entries asleep within a claim and a connection under test

Cause: the matrix had no holder that sleeps past its deadline and every wait of the other entry, in the middle of its claim or of connecting.

Change: two more faults, 4 s of sleep that ignore every deadline.

Conclusion: a claim that never lapses leaves a sleeper nothing to do twice.

--- a/relayer/fault_test.go
+++ b/relayer/fault_test.go
@@ -47,11 +47,12 @@
 	interim      fault = "interim answer first"
 	leaving      fault = "marked as leaving"
 	hangUp       fault = "closes after the answer"
+	asleep       fault = "entry asleep while connecting"
 )
 
 var serverFaults = []fault{
 	healthy, refused, slowConnect, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly,
-	failFast, shed, truncated, lengthless, cutInChunks, garbage, excess, interim, leaving, hangUp,
+	failFast, shed, truncated, lengthless, cutInChunks, garbage, excess, interim, leaving, hangUp, asleep,
 }
 
 // storeFault is what goes wrong in one call on the store.
@@ -65,9 +66,10 @@
 	storeDelayed storeFault = "write takes effect later"
 	storeStale   storeFault = "stale read"
 	storeSlow    storeFault = "store slow"
+	storeAsleep  storeFault = "entry asleep after effect"
 )
 
-var storeFaults = []storeFault{storeWell, storeDown, storeLost, storeDelayed, storeStale, storeSlow}
+var storeFaults = []storeFault{storeWell, storeDown, storeLost, storeDelayed, storeStale, storeSlow, storeAsleep}
 
 // world is a few servers and a store that go wrong by plan.
 type world struct {
@@ -93,6 +95,10 @@
 	return f
 }
 
+// sleep is how long a paused entry sleeps: past every deadline and every wait
+// of the other entry.
+const sleep = 4 * time.Second
+
 // open plays the network: it connects to a server that goes wrong by plan.
 func (w *world) open(ctx context.Context, _ string) (net.Conn, error) {
 	f := w.nextFault()
@@ -106,6 +112,9 @@
 			return nil, ctx.Err()
 		}
 	}
+	if f == asleep {
+		time.Sleep(sleep)
+	}
 	near, far := net.Pipe()
 	w.mu.Lock()
 	w.closing = append(w.closing, near, far)
@@ -247,6 +256,10 @@
 	case storeLost:
 		_, _ = w.apply(path, data, expect)
 		return 0, keeper.ErrUnavailable
+	case storeAsleep:
+		v, err := w.apply(path, data, expect)
+		time.Sleep(sleep)
+		return v, err
 	case storeDelayed:
 		data = slices.Clone(data)
 		time.AfterFunc(300*time.Millisecond, func() { _, _ = w.apply(path, data, expect) })
@@ -380,7 +393,7 @@
 	// The next call on the same connections must not be given what is left
 	// over from this one.
 	next := send(one, "GET", "call-2", "")
-	time.Sleep(5 * time.Second)
+	time.Sleep(3 * sleep)
 	return v.judge(w, id, sendings, next)
 }
 
