prober: an entry's part of the budget is its place in the list

Cause: parts went by which entries are heard of. Sides that do not overlap stayed within the budget; views that overlap one way did not have to, since several entries could each believe that they carry the service.

Change: the part depends on the entry's place among all listed entries alone, three quarters for the first carriers, the rest for the others. The census of live entries is gone. TestPartsOfPartitions is replaced by TestPartsOfAnyViews, which draws any set of entries that probe: it covers all partitions and more.

Ruled out: leases on the budget in the store (a write each); weights that halve by place (carriers would get unlike parts).

--- a/internal/bencher/sim.go
+++ b/internal/bencher/sim.go
@@ -252,7 +252,7 @@
 	subset, n := resolver.Rank("/t/"+t.Shape.Name, members, t.subset())
 	for i, m := range members {
 		e := &entry{sim: s, domain: i % domains, dispatch: dispatcher.New(s.options())}
-		e.budget = prober.NewBudget(t.Tuning.Probes*prober.Part(n, func() (int, int) { return len(members), len(members) }), 4096)
+		e.budget = prober.NewBudget(t.Tuning.Probes*prober.Part(0, n, len(members)), 4096)
 		for _, v := range s.servers {
 			name := fmt.Sprint("s", v.id)
 			home := resolver.Owner(name, subset[:n]) == m.Name
--- a/prober/budget.go
+++ b/prober/budget.go
@@ -54,19 +54,24 @@
 // Spent returns the cost so far.
 func (b *Budget) Spent() Spent { return b.spent }
 
-// majorityPart is the part of a budget that is spent where most entries hear
-// of one another. The rest is for those that are cut off from them.
-const majorityPart = 0.75
+// carriersPart is the part of a budget that is for the entries that carry a
+// service when all are well. The rest is for those that stand in for them.
+const carriersPart = 0.75
 
-// Part returns the part of a service's budget that one of the entries that
-// carry it may spend. Entries that are cut off from most others can't know
-// who else probes: each has an even part, among all listed entries, of what is
-// set aside for them, so that all sides together stay within the budget.
-func Part(carriers int, census func() (live, listed int)) float64 {
-	live, listed := census()
-	listed = max(listed, live)
-	if 2*live > listed {
-		return majorityPart / float64(max(1, carriers))
+// Part returns the part of a service's budget that one entry may spend. Rank
+// is its place among all listed entries, live or not, negative if it is not
+// listed; the first carriers of them carry the service when all are well. It
+// does not depend on which entries are heard of: whatever each of them believes
+// of the others, all together stay within the budget.
+func Part(rank, carriers, listed int) float64 {
+	switch {
+	case rank < 0:
+		return 0
+	case listed <= carriers:
+		return 1 / float64(listed)
+	case rank < carriers:
+		return carriersPart / float64(carriers)
+	default:
+		return (1 - carriersPart) / float64(listed-carriers)
 	}
-	return (1 - majorityPart) / float64(listed)
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -27,9 +27,9 @@
 	Name string
 	// Subset returns the entries that carry a service.
 	Subset func(*parser.Service) []announcer.Member
-	// Census returns how many entries this one hears of, itself among them,
-	// and how many there are by the platform's list.
-	Census   func() (live, listed int)
+	// Rank returns this entry's place for a service among all that the
+	// platform lists, negative if it is not listed, and how many there are.
+	Rank     func(*parser.Service) (rank, listed int)
 	Services func() []*relayer.Service
 	Pool     *pooler.Pool
 }
@@ -95,7 +95,7 @@
 		}
 	})
 	for _, t := range due {
-		if p.start(settings, t, len(subset)) {
+		if p.start(settings, t) {
 			go p.probe(ctx, s, settings, t)
 		}
 	}
@@ -117,9 +117,10 @@
 }
 
 // start pays for a probe, unless one is under way.
-func (p *Prober) start(s *parser.Service, t target, entries int) bool {
+func (p *Prober) start(s *parser.Service, t target) bool {
 	now := time.Now()
-	part := Part(entries, p.options.Census)
+	rank, listed := p.options.Rank(s)
+	part := Part(rank, s.Subset(), listed)
 	probes, bytes := part*s.ProbeRate(), int(part*float64(s.ProbeBytes()))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -39,21 +39,26 @@
 	})
 }
 
-// TestPartsOfPartitions parts entries into sides that hear only of
-// themselves: all that probe on all sides together spend at most the budget.
-func TestPartsOfPartitions(t *testing.T) {
+// TestPartsOfAnyViews lets any of the listed entries believe that it is to
+// probe, whatever the others believe: together they spend at most the budget,
+// and all of it if all do.
+func TestPartsOfAnyViews(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		listed := rapid.IntRange(1, 60).Draw(t, "listed")
 		carriers := rapid.IntRange(1, 8).Draw(t, "carriers")
-		sum, left := 0.0, listed
-		for left > 0 {
-			side := rapid.IntRange(1, left).Draw(t, "side")
-			left -= side
-			n := min(side, carriers)
-			sum += float64(n) * Part(n, func() (int, int) { return side, listed })
+		sum, all := 0.0, true
+		for rank := range listed {
+			if rapid.Bool().Draw(t, "probes") {
+				sum += Part(rank, carriers, listed)
+			} else {
+				all = false
+			}
+		}
+		if sum > 1+1e-9 || all && sum < 1-1e-9 {
+			t.Fatalf("parts: got: %.3f of the budget want: at most 1, or 1 of all", sum)
 		}
-		if sum > 1+1e-9 {
-			t.Fatalf("all sides: got: %.3f of the budget want: at most 1", sum)
+		if Part(-1, carriers, listed) != 0 {
+			t.Fatal("an entry that is not listed: got: a part want: none")
 		}
 	})
 }
--- a/runner/roster.go
+++ b/runner/roster.go
@@ -37,6 +37,8 @@
 	list []keeper.Instance
 	// turn counts the lists that were learned.
 	turn int
+	// ranks holds this entry's place for each service in the list.
+	ranks map[place]int
 	// filled holds, for each service, what its servers were last set from.
 	// Only Step touches it.
 	filled map[string]basis
@@ -66,11 +68,48 @@
 func (r *Roster) Learn(list []keeper.Instance) {
 	r.mu.Lock()
 	r.list = list
+	r.ranks = make(map[place]int)
 	r.turn++
 	r.mu.Unlock()
 	r.table.Seed(time.Now(), list)
 }
 
+// place is what an entry's rank depends on besides the list.
+type place struct {
+	path   string
+	subset int
+}
+
+// Rank returns this entry's place for a service among all listed entries,
+// negative if it is not listed, and how many there are.
+func (r *Roster) Rank(s *parser.Service) (rank, listed int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range r.list {
+		if i.Service == "" {
+			listed++
+		}
+	}
+	p := place{path: s.Path(), subset: s.Subset()}
+	rank, ok := r.ranks[p]
+	if !ok && r.ranks != nil {
+		rank = r.rank(p)
+		r.ranks[p] = rank
+	}
+	return rank, listed
+}
+
+func (r *Roster) rank(p place) int {
+	var entries []announcer.Member
+	for _, i := range r.list {
+		if i.Service == "" {
+			entries = append(entries, announcer.Member{Name: i.Name, Domain: i.Domain})
+		}
+	}
+	ranked, _ := resolver.Rank(p.path, entries, p.subset)
+	return slices.IndexFunc(ranked, func(m announcer.Member) bool { return m.Name == r.name })
+}
+
 // Follow reads the platform's list until ctx ends.
 func (r *Roster) Follow(ctx context.Context) error {
 	tag := ""
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -78,7 +78,7 @@
 		Instances: r.roster.Instances, Learn: r.roster.Learn, Log: log,
 	})
 	r.prober = prober.New(prober.Options{
-		Name: p.Name(), Subset: r.subset, Census: r.census, Services: r.relayer.Services, Pool: r.relayer.Pool(),
+		Name: p.Name(), Subset: r.subset, Rank: r.roster.Rank, Services: r.relayer.Services, Pool: r.relayer.Pool(),
 	})
 	r.reporter = reporter.New(reporter.Sources{
 		Process: p, Start: start, Ready: r.ready, Store: r.store, Follower: r.follower, Book: r.book,
@@ -93,17 +93,6 @@
 	return first
 }
 
-// census returns how many entries this one hears of, itself among them, and
-// how many there are by the platform's list.
-func (r *Runner) census() (live, listed int) {
-	for _, i := range r.roster.Instances() {
-		if i.Service == "" {
-			listed++
-		}
-	}
-	return len(r.table.Live(time.Now())), listed
-}
-
 // ready reports whether the entry knows settings and servers.
 func (r *Runner) ready() bool {
 	return len(r.relayer.Services()) > 0 && r.roster.Instances() != nil
