scripts, reporter: scripts share a library, metrics read the status once, stale words out

Cause: reading as a newcomer: three scripts started and ended processes in their own copies of the same lines; each of eight totals worked out every service's status anew on each scrape, and called itself a gauge; a test file of 546 lines; an option of the policies that nothing used; two comments that told of what was no longer so.

Change: scripts/lib.sh; one callback over counters; world_test.go; Force gone. claims.pending is in status only, claims.dropped is a metric.

Conclusion: no behaviour towards callers changed.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -34,12 +34,12 @@
 	queues [parser.Classes]limiter.List[*Call]
 	hedges limiter.List[*Call]
 	// waiting counts the calls in queues.
-	waiting               int
-	hedgeBudget, retryBud limiter.Budget
+	waiting                  int
+	hedgeBudget, retryBudget limiter.Budget
 	// typical and slow hold each class's average latency and the estimate of
 	// its hedge quantile.
 	typical, slow [parser.Classes]time.Duration
-	// skip is the reused predicate of request, about current.
+	// request is reused for each choice; its predicate is about current.
 	request picker.Request[*Server]
 	current *Call
 	counts  Counts
@@ -97,7 +97,7 @@
 func (d *Dispatcher) Submit(now time.Time, c *Call) error {
 	d.counts.Calls++
 	d.hedgeBudget.Earn(d.options.Hedge)
-	d.retryBud.Earn(d.options.Retry)
+	d.retryBudget.Earn(d.options.Retry)
 	if err := d.admit(now, c); err != nil {
 		d.counts.Refused++
 		return err
@@ -107,8 +107,9 @@
 	return nil
 }
 
-// admit refuses calls that the queue has no place for. A full queue makes
-// place by refusing the newest call of a later class, through Next.
+// admit refuses a call that can't be answered in time, or that finds the queue
+// full of calls of its own class and earlier ones: later classes don't count,
+// so that they never keep a call out.
 func (d *Dispatcher) admit(now time.Time, c *Call) error {
 	if !now.Add(d.typical[c.class] / 2).Before(c.deadline) {
 		return ErrLate
--- a/dispatcher/extra.go
+++ b/dispatcher/extra.go
@@ -88,7 +88,7 @@
 	if c.tries >= maxAttempts || d.hopeless(now, c) {
 		return false
 	}
-	if !unsent && (!c.repeat || !d.retryBud.Spend()) {
+	if !unsent && (!c.repeat || !d.retryBudget.Spend()) {
 		return false
 	}
 	c.want = Retry
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -33,8 +33,6 @@
 	Servers []S
 	// Skip reports candidates that the call must not go to, nil for none.
 	Skip func(S) bool
-	// Force asks for any usable server, even one without a free slot.
-	Force bool
 }
 
 func (r *Request[S]) open(i int) bool {
--- a/picker/slotted.go
+++ b/picker/slotted.go
@@ -56,7 +56,7 @@
 		}
 		s := r.Servers[i]
 		free := s.Free(r.Now)
-		if free <= 0 && !r.Force || !r.open(i) {
+		if free <= 0 || !r.open(i) {
 			continue
 		}
 		c := rank{suspect: s.Suspect(r.Now), away: !s.Home(), free: free, wait: s.Expected()}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,10 +8,7 @@
 beat=${BEAT:-500ms}
 silence=${SILENCE:-3s}
 out=out/capacity
-pids=()
-stop_all() { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; pids=(); }
-trap stop_all EXIT
-start() { local name=$1; shift; "$@" >"$out/$name.log" 2>&1 & pids+=($!); last=$!; }
+. scripts/lib.sh
 platform=127.0.0.1:$base
 export POPLARWIND_PLATFORM=$platform
 printf '%8s %8s %8s %10s %8s %12s %12s %10s %10s\n' entries services servers "core %" "RSS MB" "peer B/s out" "peer B/s in" "store/s" "store B/s"
@@ -19,7 +16,7 @@
   local entries=$1 teams=$2 servers=$3
   rm -rf "$out" && mkdir -p "$out"
   start platform bin/poplarfake platform -listen "$platform"
-  for _ in $(seq 50); do curl -sf -m 1 "http://$platform/v1/instances" >/dev/null && break; sleep 0.1; done
+  reach "$platform/v1/instances"
   for i in $(seq 0 $((servers - 1))); do
     echo "{\"name\":\"server-$i\",\"addr\":\"10.0.$((i / 250)).$((i % 250)):80\",\"domain\":\"d$((i % 6))\",\"service\":\"/team-$((i % teams))/service-$((i / teams % 10))\"}"
   done >"$out/instances"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,18 +5,13 @@
 cd "$(dirname "$0")/.."
 base=${POPLAR_PORT:-21000}
 out=out/demo
-rm -rf "$out" && mkdir -p "$out"
-pids=()
-stop_all() { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
-trap stop_all EXIT
-start() { local name=$1; shift; "$@" >"$out/$name.log" 2>&1 & pids+=($!); last=$!; }
-post() { curl -sf -m 2 -X POST --data "$2" "http://$1" >/dev/null; }
+. scripts/lib.sh
 platform=127.0.0.1:$base
 export POPLARWIND_PLATFORM=$platform
 
 echo "== platform, 12 servers, 3 entries"
 start platform bin/poplarfake platform -listen "$platform"
-for _ in $(seq 50); do curl -sf -m 1 "http://$platform/v1/instances" >/dev/null && break; sleep 0.1; done
+reach "$platform/v1/instances"
 domains=(a b c) ; services=(jobs jobs jobs jobs jobs jobs parts parts parts certification certification certification)
 for i in $(seq 0 11); do
   addr=127.0.0.1:$((base + 100 + i))
@@ -37,9 +32,9 @@
 done
 
 echo "== settings"
-for _ in $(seq 50); do curl -sf -m 1 "http://127.0.0.1:$((base + 208))/status" >/dev/null && break; sleep 0.1; done
+reach "127.0.0.1:$((base + 208))/status"
 bin/poplarctl apply -wait examples/coastline.jsonc
-for e in 0 1 2; do for _ in $(seq 50); do curl -sf -m 1 "http://127.0.0.1:$((base + 202 + 3 * e))/ready" >/dev/null && break; sleep 0.1; done; done
+for e in 0 1 2; do reach "127.0.0.1:$((base + 202 + 3 * e))/ready"; done
 sleep 1.5
 
 echo "== load; after 4 s server-0 is killed, after 8 s entry-0 stops in order"
--- a/scripts/one.sh
+++ b/scripts/one.sh
@@ -1,15 +1,11 @@
 # One platform, one server and one entry on loopback, for measurements. The
 # including script sets out and base; it is given entry (a process id), $caller,
 # $server and $ops (addresses).
-rm -rf "$out" && mkdir -p "$out"
-pids=()
-trap 'for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done' EXIT
-start() { local name=$1; shift; "$@" >"$out/$name.log" 2>&1 & pids+=($!); last=$!; }
-post() { curl -sf -m 2 -X POST --data "$2" "http://$1" >/dev/null; }
+. scripts/lib.sh
 platform=127.0.0.1:$base server=127.0.0.1:$((base + 1)) caller=127.0.0.1:$((base + 2)) ops=127.0.0.1:$((base + 4))
 export POPLARWIND_PLATFORM=$platform
 start platform bin/poplarfake platform -listen "$platform"
-for _ in $(seq 50); do curl -sf -m 1 "http://$platform/v1/instances" >/dev/null && break; sleep 0.1; done
+reach "$platform/v1/instances"
 start server bin/poplarfake server -listen "$server" -slots 64 -work "${WORK:-1ms}"
 post "$platform/fake/instance" "{\"name\":\"s\",\"addr\":\"$server\",\"domain\":\"a\",\"service\":\"/t/s\"}"
 cat >"$out/entry.jsonc" <<J
@@ -19,7 +15,7 @@
 start entry bin/poplarwind -settings "$out/entry.jsonc"
 entry=$last
 echo '{"/t/s": {"slots": 64, "conns": 240}}' >"$out/settings.jsonc"
-for _ in $(seq 50); do curl -sf -m 1 "http://$ops/status" >/dev/null && break; sleep 0.1; done
+reach "$ops/status"
 bin/poplarctl apply -wait -entries "$ops" "$out/settings.jsonc" 2>/dev/null
-for _ in $(seq 50); do curl -sf -m 1 "http://$ops/ready" >/dev/null && break; sleep 0.1; done
+reach "$ops/ready"
 sleep 1.5
