relayer: a refused repeat is not told that its call did not run

Cause: a call with a key whose first sending was told 'unknown' was told 'no' when sent again while the entry had no place or no longer knew the service (TestRefusedRepeat: got 429 no and 404 no, want unknown). The order may have run; a caller that believed the 'no' would place it anew. The matrix missed it, since its entries always had a place.

Change: every refusal before the claim was looked at says 'unknown' for a request with a key, unless the caller asserts by Poplar-First that it is the first. So did the refusal for want of a claim before; both now use one rule.

--- a/relayer/claim.go
+++ b/relayer/claim.go
@@ -10,6 +10,16 @@
 	"poplarwind/claimer"
 )
 
+// beforeClaim says whether the call of a request ran that is refused before
+// its claim was looked at. The request itself did not; but an earlier sending
+// with its key may have, unless the caller asserts that there was none.
+func beforeClaim(req *fasthttp.Request) Ran {
+	if len(req.Header.Peek(HeaderKey)) > 0 && string(req.Header.Peek(HeaderFirst)) != "1" {
+		return RanUnknown
+	}
+	return RanNo
+}
+
 // carry serves the call, under a claim if it has a key and must not run
 // twice.
 func (r *Relayer) carry(x *exchange) verdict {
@@ -24,14 +34,12 @@
 	if err != nil {
 		return verdict{err: err}
 	}
-	first := string(x.request.Header.Peek(HeaderFirst)) == "1"
 	claim, known, err := r.claim(x, key)
 	switch {
 	case known != nil:
 		return replay(known)
-	case errors.Is(err, claimer.ErrNoClaim) && !first:
-		// This request did not run, but an earlier one with its key may have.
-		return verdict{err: err, ran: RanUnknown}
+	case errors.Is(err, claimer.ErrNoClaim):
+		return verdict{err: err, ran: beforeClaim(x.request)}
 	case errors.Is(err, claimer.ErrMayHaveRun):
 		return verdict{err: err, ran: RanUnknown}
 	case err != nil:
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -139,7 +139,7 @@
 	start := time.Now()
 	s, x, err := r.admit(ctx, start)
 	if err != nil {
-		refuse(ctx, err, RanNo)
+		refuse(ctx, err, beforeClaim(&ctx.Request))
 		return
 	}
 	defer r.shares.Release(s.settings.Team())
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -281,10 +281,13 @@
 const testSettings = `{"slots": 2, "shed": true, "deadline": "1s", "hedge": 0.2, "retry": 0.5}`
 
 // entry is one relayer over the world's servers and store.
-func (w *world) entry(ctx context.Context, name string) *Relayer {
+func (w *world) entry(ctx context.Context, name string) *Relayer { return w.entryOf(ctx, name, 0) }
+
+// entryOf is an entry that holds so many calls at once.
+func (w *world) entryOf(ctx context.Context, name string, calls int) *Relayer {
 	c := claimer.New(w, name)
 	go func() { _ = c.Run(ctx) }()
-	r := New(Options{Claims: c, Open: w.open})
+	r := New(Options{Calls: calls, Claims: c, Open: w.open})
 	var b watcher.Book
 	e := fmt.Sprintf(`{"id":"1","doc":%q}`, testSettings)
 	b.Offer(keeper.Object{Path: keeper.Prefix + "/t/s", Version: 1, Data: []byte(e)})
