relayer: tests close their connections under the world's lock

Cause: the race detector, in a clean clone, reported TestRefusedRepeat reading the list of connections while a hedged attempt was still adding to it. The race was in the test; the product's code was not part of either stack.

Change: one method of the world closes them, under its lock, for all four tests that did so themselves.

--- a/relayer/fault_test.go
+++ b/relayer/fault_test.go
@@ -66,9 +66,7 @@
 		w := &world{runs: map[string]int{}, objects: map[string][]keeper.Object{}}
 		broken = v.play(ctx, w)
 		cancel()
-		for _, c := range w.closing {
-			_ = c.Close()
-		}
+		w.shut()
 		time.Sleep(2 * time.Minute)
 	})
 	return broken
@@ -206,9 +204,7 @@
 				t.Errorf("%s: got: %v, %d runs want: %v, 1", method, got, w.runs["id"], want)
 			}
 			cancel()
-			for _, c := range w.closing {
-				_ = c.Close()
-			}
+			w.shut()
 		})
 	}
 }
@@ -242,8 +238,6 @@
 			t.Errorf("repeated: got: %v, %d runs want: %v, 1", again, w.runs["one"], first)
 		}
 		cancel()
-		for _, c := range w.closing {
-			_ = c.Close()
-		}
+		w.shut()
 	})
 }
--- a/relayer/refuse_test.go
+++ b/relayer/refuse_test.go
@@ -46,9 +46,7 @@
 				}
 				time.Sleep(5 * time.Second)
 				cancel()
-				for _, c := range w.closing {
-					_ = c.Close()
-				}
+				w.shut()
 			})
 		})
 	}
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -118,6 +118,15 @@
 	return near, nil
 }
 
+// shut closes all connections.
+func (w *world) shut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.closing {
+		_ = c.Close()
+	}
+}
+
 // serve plays one server's side of a connection; later exchanges on it are
 // healthy.
 func (w *world) serve(c net.Conn, f fault) {
