poplarwind: the whole path on the users' platform, thin

One role serves callers, answers where to connect and speaks with the other entries. platform translates; router, placer, tracker and forwarder are the product's own.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -47,7 +47,10 @@
 	// a list that a peer saw.
 	Instances func() []keeper.Instance
 	Learn     func([]keeper.Instance)
-	Log       *slog.Logger
+	// Serve answers messages to paths that the announcer does not know, nil
+	// for none.
+	Serve func(ctx context.Context, path string, body []byte) (any, error)
+	Log   *slog.Logger
 }
 
 // Announcer exchanges tables and settings with peers.
@@ -217,6 +220,23 @@
 	}
 }
 
+// serve answers a message to another part of this entry.
+func (a *Announcer) serve(path string, body []byte) (any, error) {
+	if a.options.Serve == nil {
+		return nil, errors.NotFoundf("path %q", path)
+	}
+	return a.options.Serve(context.Background(), path, body)
+}
+
+// Send sends a message to a path of the member and decodes its answer.
+func (a *Announcer) Send(ctx context.Context, m Member, path string, message, answer any) error {
+	data, err := a.call(ctx, m, path, message)
+	if err != nil {
+		return err
+	}
+	return errors.Trace(json.Unmarshal(data, answer))
+}
+
 // call sends one sealed message and returns the peer's sealed answer.
 func (a *Announcer) call(ctx context.Context, p Member, path string, message any) ([]byte, error) {
 	body, err := pack(message)
@@ -292,8 +312,11 @@
 		}
 		answer = a.haul(q)
 	default:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
+		if answer, err = a.serve(string(path), body); err != nil {
+			a.options.Log.Debug("message of a peer not served", "path", string(path), "error", err.Error())
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
 	}
 	out, err := pack(answer)
 	if err != nil {
--- a/announcer/message.go
+++ b/announcer/message.go
@@ -48,18 +48,28 @@
 	Instances []keeper.Instance `json:"instances,omitempty"`
 }
 
-// pack encodes a message. Names that recur make up most of it, so that it
-// shrinks to about a third.
+// smallMessage is the size in bytes up to which compressing costs more
+// processor time than the bytes that it saves are worth.
+const smallMessage = 1200
+
+// pack encodes a message. Names that recur make up most of a large one, so
+// that it is compressed to about a third.
 func pack(message any) ([]byte, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if len(body) <= smallMessage {
+		return body, nil
+	}
 	return fasthttp.AppendGzipBytesLevel(nil, body, fasthttp.CompressBestSpeed), nil
 }
 
 // unpack reverses pack up to the encoding. It reads no more than MaxMessage.
 func unpack(data []byte) ([]byte, error) {
+	if !bytes.HasPrefix(data, []byte{0x1f, 0x8b}) {
+		return data, nil
+	}
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, errors.WithType(err, ErrMessage)
--- a/cmd/poplarwind/main.go
+++ b/cmd/poplarwind/main.go
@@ -19,7 +19,9 @@
 	"os/signal"
 	"syscall"
 
+	"poplarwind/internal/liner"
 	"poplarwind/parser"
+	"poplarwind/platform"
 	"poplarwind/runner"
 )
 
@@ -31,7 +33,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	path := flag.String("settings", "", "`file` with the settings of this process, JSON with comments")
+	path := flag.String("settings", platform.SettingsPath(), "`file` with the settings of this process, JSON with comments")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
 	if *path == "" || flag.NArg() > 0 {
@@ -51,17 +53,63 @@
 	if *check {
 		return 0
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("entry", p.Name())
-	r, err := runner.New(p, log)
+	lines := liner.New(os.Stdout)
+	flushed := make(chan error, 1)
+	logging, stopLogging := context.WithCancel(context.Background())
+	go func() { flushed <- lines.Run(logging) }()
+	defer func() {
+		stopLogging()
+		<-flushed
+	}()
+	log := slog.New(slog.NewJSONHandler(lines, nil)).With("entry", p.Name())
+	r, err := build(p, log)
 	if err != nil {
 		log.Error("entry can't start", "error", err.Error())
 		return exitFailed
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	go reload(ctx, log, *path)
 	if err := r.Run(ctx); err != nil {
 		log.Error("entry failed", "error", err.Error())
 		return exitFailed
 	}
 	return 0
 }
+
+// daemon is what the settings make of this process.
+type daemon interface {
+	Run(ctx context.Context) error
+}
+
+func build(p *parser.Process, log *slog.Logger) (daemon, error) {
+	if p.Gateway().On() {
+		return runner.NewGateway(p, log)
+	}
+	return runner.New(p, log)
+}
+
+// reload reads the settings again on each SIGHUP and says whether they are
+// sound and still those in force. Addresses, limits and budgets are those of
+// the start: a process takes new ones by being replaced.
+func reload(ctx context.Context, log *slog.Logger, path string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		text, err := os.ReadFile(path)
+		if err == nil {
+			_, err = parser.ParseProcess(path, text)
+		}
+		if err != nil {
+			log.Warn("settings not reloaded", "path", path, "error", err.Error())
+			continue
+		}
+		log.Info("settings read again", "path", path)
+	}
+}
--- /dev/null
+++ b/forwarder/ask.go
@@ -0,0 +1,232 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/placer"
+	"poplarwind/pooler"
+)
+
+const (
+	// askedAtOnce is how many upstreams are asked for their load before a
+	// send: a quarter of them may be slow at any moment, so that three are
+	// rarely all slow, and more cost more than they find.
+	askedAtOnce = 3
+	// askWait is how long the first answer is waited for, and askMore how long
+	// the others after it.
+	askWait = 60 * time.Millisecond
+	askMore = 8 * time.Millisecond
+)
+
+// asked is an upstream's answer to the question for its load, and the
+// connection that it came on, nil if there was none.
+type asked struct {
+	upstream *placer.Upstream
+	conn     *pooler.Conn
+}
+
+// inquiry collects the answers of upstreams that are asked at once.
+type inquiry struct {
+	pool *pooler.Pool
+	// answers has room for all of them.
+	answers chan asked
+
+	mu sync.Mutex
+	// over says that later answers are of no use.
+	over bool
+}
+
+// deliver hands in an answer. Connections that come too late go back to their
+// pool.
+func (q *inquiry) deliver(a asked) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.over {
+		q.giveBack(a)
+		return
+	}
+	q.answers <- a
+}
+
+func (q *inquiry) giveBack(a asked) {
+	if a.conn != nil {
+		q.pool.Put(a.conn)
+	}
+}
+
+// end gives back all connections but the one kept.
+func (q *inquiry) end(all []asked, kept *pooler.Conn) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.over = true
+	for _, a := range all {
+		if a.conn != kept {
+			q.giveBack(a)
+		}
+	}
+	for {
+		select {
+		case a := <-q.answers:
+			q.giveBack(a)
+		default:
+			return
+		}
+	}
+}
+
+// choose asks a few upstreams for their load and takes the best, which has its
+// request counted then. It returns a nil upstream if none has a slot.
+func (x *exchange) choose() asked {
+	s := x.service
+	s.mu.Lock()
+	list := s.fleet.Ask(nil, time.Now(), askedAtOnce, x.tried)
+	s.mu.Unlock()
+	if len(list) == 0 {
+		return asked{}
+	}
+	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, len(list))}
+	for _, u := range list {
+		go func() { q.deliver(x.ask(u)) }()
+	}
+	var all []asked
+	var heard []*placer.Upstream
+	timer := time.NewTimer(askWait)
+	defer timer.Stop()
+	for len(all) < len(list) {
+		select {
+		case a := <-q.answers:
+			all = append(all, a)
+			if a.conn != nil {
+				heard = append(heard, a.upstream)
+				if len(heard) == 1 {
+					timer.Reset(askMore)
+				}
+			}
+			if !x.satisfied(a) {
+				continue
+			}
+		case <-timer.C:
+		}
+		break
+	}
+	best := x.take(heard)
+	won := asked{upstream: best}
+	for _, a := range all {
+		if best != nil && a.upstream == best {
+			won = a
+		}
+	}
+	q.end(all, won.conn)
+	return won
+}
+
+// satisfied reports whether no better answer than this one can come.
+func (x *exchange) satisfied(a asked) bool {
+	if a.conn == nil {
+		return false
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	return x.service.fleet.Ideal(time.Now(), a.upstream)
+}
+
+// take takes the best of the upstreams that answered.
+func (x *exchange) take(heard []*placer.Upstream) *placer.Upstream {
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	best := x.service.fleet.Best(time.Now(), heard)
+	if best != nil {
+		x.service.fleet.Start(best)
+	}
+	return best
+}
+
+// ask asks one upstream for its load.
+func (x *exchange) ask(u *placer.Upstream) asked {
+	ctx, cancel := context.WithTimeout(context.Background(), askWait)
+	defer cancel()
+	pool := x.forwarder.pool
+	limit := x.connLimit()
+	c, err := pool.Get(ctx, u.Addr(), limit, false)
+	if err == nil && x.question(c, u) {
+		return asked{upstream: u, conn: c}
+	}
+	if err == nil {
+		pool.Drop(c)
+		// The connection may have been at its end: a new one tells.
+		if c, err = pool.New(ctx, u.Addr(), limit); err == nil {
+			if x.question(c, u) {
+				return asked{upstream: u, conn: c}
+			}
+			pool.Drop(c)
+		}
+	}
+	s := x.service
+	s.mu.Lock()
+	s.fleet.Silent(time.Now(), u)
+	out := u.Ejected(time.Now())
+	s.mu.Unlock()
+	if out {
+		x.forwarder.options.Log.Warn("upstream ejected", "upstream", u.ID(), "service", s.name, "cause", "no answer to a load query")
+	}
+	return asked{upstream: u}
+}
+
+// connLimit returns how many connections to one upstream this entry may have.
+func (x *exchange) connLimit() int {
+	if x.conns <= 0 {
+		return defaultConns
+	}
+	all, _ := x.forwarder.options.Entries(x.service.name)
+	return max(minConns, int(connShare*float64(x.conns)/float64(max(1, all))))
+}
+
+const (
+	defaultConns = 64
+	minConns     = 4
+	// connShare is the part of an upstream's connections that entries use: it
+	// takes fewer while its queue is long.
+	connShare = 0.8
+)
+
+// question asks for the load on a connection and reports whether the
+// upstream itself answered.
+func (x *exchange) question(c *pooler.Conn, u *placer.Upstream) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.DisableNormalizing()
+	req.Header.SetRequestURI(x.health)
+	req.Header.SetHost(u.Addr())
+	req.UseHostHeader = true
+	c.Deadline(time.Now().Add(askWait))
+	if err := c.Send(req); err != nil {
+		return false
+	}
+	if err := c.Receive(resp, false, x.forwarder.options.Body); err != nil {
+		return false
+	}
+	now := time.Now()
+	facts := x.forwarder.options.Dialect.Read(&resp.Header, now)
+	if resp.ConnectionClose() || len(facts.ID) > 0 || facts.Stamped || !c.Clean() {
+		return false
+	}
+	s := x.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if facts.Instance != "" && facts.Instance != u.ID() {
+		s.fleet.Disown(u)
+		x.forwarder.options.Log.Warn("upstream replaced at its address", "upstream", u.ID(), "addr", u.Addr(), "now", facts.Instance)
+		return false
+	}
+	if !facts.HasLoad {
+		facts.Load = placer.Report{Slowness: 1, At: now}
+	}
+	s.fleet.Hear(u, facts.Load)
+	return true
+}
--- /dev/null
+++ b/forwarder/service.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"sync"
+	"time"
+
+	"poplarwind/limiter"
+	"poplarwind/placer"
+)
+
+// service is the state of one service at this entry.
+type service struct {
+	name string
+
+	mu     sync.Mutex
+	fleet  placer.Fleet
+	ration limiter.Ration
+	line   limiter.Line[*exchange]
+	// turns counts requests of the line that are being placed.
+	turns int
+	// armed says that a timer will call pump.
+	armed bool
+	// carriers is how many entries carry the service.
+	carriers int
+}
+
+const (
+	// maxTurns is how many requests of the line may be placed at once.
+	maxTurns = 3
+	// lineEvery is how often the first of the line looks for a slot that other
+	// entries may have freed.
+	lineEvery = 12 * time.Millisecond
+	// rationShare is the part of the retry budget that entries spend: they
+	// count in steps, and may differ in how many they think they are.
+	rationShare = 0.8
+	// allowanceShare is the same for the part that does not grow with load,
+	// which an entry that starts anew can spend again.
+	allowanceShare = 0.4
+)
+
+func (s *service) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Remove(id)
+}
+
+// configure takes in a request and sets what depends on the entries.
+func (s *service) configure(o Options, now time.Time) {
+	all, carriers := o.Entries(s.name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.carriers = max(1, carriers)
+	s.fleet.Probes = o.Probes / float64(s.carriers)
+	s.ration.Set(rationShare*o.Retries.Share, allowanceShare*o.Retries.Allowance/float64(max(1, all)), o.Retries.Window)
+	s.ration.Count(now)
+}
+
+// pump gives requests of the line their turn. The lock must be held.
+func (s *service) pump(now time.Time) {
+	for s.turns < maxTurns {
+		x, ok := s.line.First(now)
+		if !ok {
+			return
+		}
+		s.line.Remove(x)
+		s.turns++
+		x.turn <- struct{}{}
+	}
+}
+
+// arm has pump called in a while. The lock must be held.
+func (s *service) arm() {
+	if s.armed {
+		return
+	}
+	s.armed = true
+	time.AfterFunc(lineEvery, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.armed = false
+		s.pump(time.Now())
+	})
+}
+
+// finish ends a request at an upstream.
+func (s *service) finish(u *placer.Upstream, r placer.Result, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.fleet.Finish(now, u, r, took)
+	s.pump(now)
+}
+
+// wait estimates how long a request at a place of the line waits for a slot
+// at this entry.
+func (s *service) wait(now time.Time, ahead int) time.Duration {
+	slots := float64(s.fleet.Slots(now)) / float64(s.carriers)
+	if slots <= 0 {
+		return noSlotsWait
+	}
+	return time.Duration(float64(ahead) / slots * float64(s.fleet.Usual()))
+}
+
+// noSlotsWait is how long a service without upstreams is expected to stay so:
+// the time in which service discovery tells of new ones.
+const noSlotsWait = 500 * time.Millisecond
--- /dev/null
+++ b/placer/fleet.go
@@ -0,0 +1,178 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Fleet is the upstreams of one service as one entry sees them. Its zero
+// value has none.
+type Fleet struct {
+	// Domain is the failure domain of the entry; upstreams there are nearer.
+	Domain string
+	// Probes is how often this entry may ask one upstream for its load, a
+	// second, 0 meaning without bound.
+	Probes float64
+	// Rand breaks ties, nil meaning the shared source.
+	Rand *rand.Rand
+
+	// list holds each upstream once, by the order of arrival.
+	list []*Upstream
+	// usual is the average time from a send to its answer.
+	usual time.Duration
+}
+
+// List returns the upstreams. The list must not be changed.
+func (f *Fleet) List() []*Upstream { return f.list }
+
+// Find returns the upstream with the ID, or nil.
+func (f *Fleet) Find(id string) *Upstream {
+	for _, u := range f.list {
+		if u.spec.ID == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// Put makes an upstream known or takes in a change of it. One that started
+// anew under its ID, or at another address, begins without a past.
+func (f *Fleet) Put(now time.Time, s Spec) {
+	u := f.Find(s.ID)
+	if u == nil || u.spec.Born != s.Born || u.spec.Addr != s.Addr {
+		f.Remove(s.ID)
+		u = &Upstream{}
+		f.list = append(f.list, u)
+	}
+	u.spec = s
+	u.warm = now.Add(s.Warmup)
+}
+
+// Remove forgets an upstream. Its requests in flight still end with Finish.
+func (f *Fleet) Remove(id string) {
+	i := slices.IndexFunc(f.list, func(u *Upstream) bool { return u.spec.ID == id })
+	if i < 0 {
+		return
+	}
+	f.list[i].gone = true
+	f.list = slices.Delete(f.list, i, i+1)
+}
+
+// Slots returns the slots of all usable upstreams.
+func (f *Fleet) Slots(now time.Time) int {
+	n := 0
+	for _, u := range f.list {
+		if u.usable(now) {
+			n += u.Slots()
+		}
+	}
+	return n
+}
+
+// Free reports whether some usable upstream has a free slot by what is known.
+func (f *Fleet) Free(now time.Time) bool {
+	for _, u := range f.list {
+		if u.usable(now) && u.busy(now) < float64(u.Slots()) {
+			return true
+		}
+	}
+	return false
+}
+
+// awayCost is what it costs to leave the failure domain, in units of a
+// request's usual work: crossing it is slower and is paid by the byte.
+const awayCost = 0.35
+
+// candidate is an upstream with the cost of sending to it.
+type candidate struct {
+	upstream *Upstream
+	cost     float64
+}
+
+// rank fills dst with the usable upstreams that skip leaves, cheapest first.
+func (f *Fleet) rank(now time.Time, skip func(*Upstream) bool) []candidate {
+	out := make([]candidate, 0, len(f.list))
+	for _, u := range f.list {
+		if !u.usable(now) || skip != nil && skip(u) {
+			continue
+		}
+		c := u.cost(now) + 0.1*f.float() + 0.5*float64(u.silent)
+		if u.spec.Domain != f.Domain {
+			c += awayCost
+		}
+		out = append(out, candidate{upstream: u, cost: c})
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+func (f *Fleet) float() float64 {
+	if f.Rand == nil {
+		return rand.Float64()
+	}
+	return f.Rand.Float64()
+}
+
+// Ask appends to dst the upstreams whose load is to be asked for before a
+// request is sent: the n that look best. Those that skip reports are passed
+// over.
+func (f *Fleet) Ask(dst []*Upstream, now time.Time, n int, skip func(*Upstream) bool) []*Upstream {
+	for _, c := range f.rank(now, skip) {
+		if len(dst) == n {
+			break
+		}
+		if c.upstream.pay(now, f.Probes) {
+			dst = append(dst, c.upstream)
+		}
+	}
+	return dst
+}
+
+// Ideal reports whether an upstream that was just heard of can hardly be
+// bettered: it is near, works at its usual pace, and has slots to spare.
+func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
+	return u.usable(now) && u.spec.Domain == f.Domain && u.slowness(now) <= idealSlowness &&
+		u.busy(now)+1 <= kneeShare*float64(u.Slots())
+}
+
+// idealSlowness is the pace that counts as usual.
+const idealSlowness = 1.1
+
+// Best returns the upstream among those asked that a request is best sent to,
+// nil if none has a free slot. The first request of several at once takes the
+// slot: the count of the entry's own is part of the estimate.
+func (f *Fleet) Best(now time.Time, asked []*Upstream) *Upstream {
+	var best *Upstream
+	lowest := 0.0
+	for _, u := range asked {
+		if !u.usable(now) || u.busy(now) >= float64(u.Slots()) {
+			continue
+		}
+		c := u.cost(now)
+		if u.spec.Domain != f.Domain {
+			c += awayCost
+		}
+		if best == nil || c < lowest {
+			best, lowest = u, c
+		}
+	}
+	return best
+}
+
+// Hear takes in what an upstream tells of its load.
+func (f *Fleet) Hear(u *Upstream, r Report) { u.hear(r) }
+
+// Usual returns the average time from a send to its answer, 0 before any.
+func (f *Fleet) Usual() time.Duration { return f.usual }
+
+// Disown keeps an upstream out for good: another one answers at its address.
+func (f *Fleet) Disown(u *Upstream) { u.gone = true }
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -30,8 +30,10 @@
 	write *bufio.Writer
 	// wrote counts bytes that the kernel took in this exchange.
 	wrote atomic.Int64
-	// idle is when the connection came back to its pool.
+	// idle is when the connection came back to its pool, and keep how long
+	// it may rest there, 0 meaning as long as the pool says.
 	idle time.Time
+	keep time.Duration
 	addr string
 }
 
@@ -63,18 +65,28 @@
 // request was a HEAD, whose answer has no body. It returns ErrCut if the
 // answer's end can't be told from a cut.
 func (c *Conn) Receive(resp *fasthttp.Response, head bool, body int) error {
+	return c.receive(resp, head, body, false)
+}
+
+// ReceiveOpen is Receive, but takes an answer without a length that ends with
+// its connection for whole, if the connection was closed in order.
+func (c *Conn) ReceiveOpen(resp *fasthttp.Response, head bool, body int) error {
+	return c.receive(resp, head, body, true)
+}
+
+func (c *Conn) receive(resp *fasthttp.Response, head bool, body int, open bool) error {
 	for range maxInterim {
 		if err := resp.Header.Read(c.read); err != nil {
 			return errors.Trace(err)
 		}
 		if s := resp.StatusCode(); s >= 200 || s == fasthttp.StatusSwitchingProtocols {
-			return c.receiveBody(resp, head, body)
+			return c.receiveBody(resp, head, body, open)
 		}
 	}
 	return errors.Annotate(ErrCut, "too many interim answers")
 }
 
-func (c *Conn) receiveBody(resp *fasthttp.Response, head bool, body int) error {
+func (c *Conn) receiveBody(resp *fasthttp.Response, head bool, body int, open bool) error {
 	s := resp.StatusCode()
 	if s == fasthttp.StatusSwitchingProtocols {
 		return errors.Annotate(ErrCut, "protocol switch")
@@ -84,7 +96,7 @@
 		return nil
 	}
 	n := resp.Header.ContentLength()
-	if n == endsByClose {
+	if n == endsByClose && !open {
 		return errors.Annotate(ErrCut, "answer without a length")
 	}
 	err := resp.ReadBody(c.read, body)
@@ -108,6 +120,19 @@
 	endsByClose = -2
 )
 
+// rested reports whether the connection rested longer than it may.
+func (c *Conn) rested(now time.Time) bool { return c.keep > 0 && now.Sub(c.idle) > c.keep }
+
+// Keep bounds how long the connection may rest in its pool.
+func (c *Conn) Keep(d time.Duration) { c.keep = d }
+
+// Clean reports whether nothing is left over from the last exchange and the
+// server has not closed the connection.
+func (c *Conn) Clean() bool { return c.clean() }
+
+// Reset begins a new exchange on the connection.
+func (c *Conn) Reset() { c.wrote.Store(0) }
+
 // clean reports whether nothing is left over from the last exchange and the
 // server has not closed the connection.
 func (c *Conn) clean() bool {
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// New opens a connection to addr, of which there are at most limit.
+func (p *Pool) New(ctx context.Context, addr string, limit int) (*Conn, error) {
+	p.mu.Lock()
+	s := p.shelf(addr)
+	if s.open >= limit {
+		p.mu.Unlock()
+		return nil, errors.Trace(ErrBusy)
+	}
+	s.open++
+	p.mu.Unlock()
+	return p.dial(ctx, addr)
+}
+
 // take returns the idle connection used last, or reserves room for a new one.
 func (p *Pool) take(addr string, limit int, fresh bool) (c *Conn, room bool) {
 	p.mu.Lock()
@@ -85,9 +98,14 @@
 	if fresh {
 		oldest = time.Now().Add(-freshIdle)
 	}
-	if n := len(s.idle); n > 0 && s.idle[n-1].idle.After(oldest) {
+	for n := len(s.idle); n > 0 && s.idle[n-1].idle.After(oldest); n = len(s.idle) {
 		c = s.idle[n-1]
 		s.idle = s.idle[:n-1]
+		if c.rested(time.Now()) {
+			c.close()
+			s.open--
+			continue
+		}
 		return c, true
 	}
 	if s.open >= limit && len(s.idle) > 0 {
@@ -164,7 +182,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, s := range p.servers {
-		for len(s.idle) > 0 && s.idle[0].idle.Before(oldest) {
+		for len(s.idle) > 0 && (s.idle[0].idle.Before(oldest) || s.idle[0].rested(time.Now())) {
 			s.idle[0].close()
 			s.idle = s.idle[1:]
 			s.open--
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,12 +7,13 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/claimer"
+	"poplarwind/internal/httper"
 	"poplarwind/limiter"
 )
 
 // pass copies a server's answer to the caller's.
 func pass(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
-	strip(&resp.Header)
+	httper.Strip(&resp.Header)
 	for _, name := range []string{HeaderRan, HeaderLoad, HeaderLeaving, HeaderShed} {
 		resp.Header.Del(name)
 	}
--- a/relayer/header.go
+++ b/relayer/header.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/httper"
 )
 
 // Headers between callers, entries and servers.
@@ -83,35 +85,6 @@
 	return min(n, maxLoad)
 }
 
-// connectionHeaders are about one connection and never passed on.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// headers is what requests' and responses' headers have in common.
-type headers interface {
-	Peek(key string) []byte
-	Del(key string)
-	DelBytes(key []byte)
-}
-
-// strip removes headers about one connection, and those that the Connection
-// header names.
-func strip(h headers) {
-	if v := h.Peek("Connection"); len(v) > 0 {
-		for name := range bytes.SplitSeq(bytes.Clone(v), []byte(",")) {
-			name = bytes.TrimSpace(name)
-			if !bytes.EqualFold(name, []byte("close")) && !bytes.EqualFold(name, []byte("keep-alive")) {
-				h.DelBytes(name)
-			}
-		}
-	}
-	for _, name := range connectionHeaders {
-		h.Del(name)
-	}
-}
-
 // conflicting reports whether raw headers give a body's length in two ways,
 // which entries and servers might read differently.
 func conflicting(raw []byte) bool {
@@ -130,7 +103,7 @@
 // gets the server's address for one.
 func outgoing(dst, src *fasthttp.Request, addr string, left time.Duration) {
 	src.Header.CopyTo(&dst.Header)
-	strip(&dst.Header)
+	httper.Strip(&dst.Header)
 	for _, name := range []string{HeaderFirst, HeaderSpent, HeaderReplay, HeaderRan} {
 		dst.Header.Del(name)
 	}
--- a/runner/door.go
+++ b/runner/door.go
@@ -64,18 +64,23 @@
 	handlers := []fasthttp.RequestHandler{callers: r.serveCaller, peers: r.announcer.Handle, ops: r.reporter.Handle}
 	servers := make([]*fasthttp.Server, 0, len(handlers))
 	for i, d := range r.doors {
-		s := &fasthttp.Server{
-			Handler: handlers[i], ErrorHandler: badRequest, MaxRequestBodySize: d.body, ReadBufferSize: d.header,
-			Concurrency: d.conns, ReadTimeout: slowSender, WriteTimeout: slowSender, IdleTimeout: idleCaller,
-			NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, CloseOnShutdown: true,
-			DisablePreParseMultipartForm: true, Logger: quiet{},
-		}
+		s := d.server(handlers[i])
 		servers = append(servers, s)
 		g.Go(func() error { return s.Serve(d.Listener) })
 	}
 	return servers
 }
 
+// server returns a server with the bounds of the door.
+func (d door) server(handle fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handle, ErrorHandler: badRequest, MaxRequestBodySize: d.body, ReadBufferSize: d.header,
+		Concurrency: d.conns, ReadTimeout: slowSender, WriteTimeout: slowSender, IdleTimeout: idleCaller,
+		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, CloseOnShutdown: true,
+		DisablePreParseMultipartForm: true, Logger: quiet{},
+	}
+}
+
 // quiet drops what fasthttp logs about single connections.
 type quiet struct{}
 
--- /dev/null
+++ b/runner/gateway.go
@@ -0,0 +1,314 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"poplarwind/announcer"
+	"poplarwind/forwarder"
+	"poplarwind/internal/sleeper"
+	"poplarwind/keeper"
+	"poplarwind/parser"
+	"poplarwind/placer"
+	"poplarwind/platform"
+	"poplarwind/reporter"
+	"poplarwind/resolver"
+	"poplarwind/router"
+	"poplarwind/tracker"
+	"poplarwind/watcher"
+)
+
+// Gateway is one daemon on the users' platform.
+type Gateway struct {
+	process   *parser.Process
+	log       *slog.Logger
+	store     *platform.Store
+	state     *tracker.State
+	tracker   *tracker.Tracker
+	table     *announcer.Table
+	announcer *announcer.Announcer
+	forwarder *forwarder.Forwarder
+	recorder  *reporter.Recorder
+	doors     []gate
+	// leaving is set once a planned stop has begun.
+	leaving atomic.Bool
+	// lapse decides which upstreams count that the store does not name. Only
+	// adopt touches it, and used, the upstreams that are in use.
+	lapse tracker.Lapse
+	used  map[string]placer.Spec
+}
+
+// gate is a listener of a gateway with what answers on it.
+type gate struct {
+	door
+	addr   string
+	handle fasthttp.RequestHandler
+	idle   time.Duration
+}
+
+const (
+	// gatewayIdle is how long a caller's connection may rest. Operators bound
+	// it in the configuration; callers stay within that.
+	gatewayIdle = time.Minute
+	// holdShare is the part of the upstreams' drain time for which lapsed
+	// upstreams stay in use.
+	holdShare = 0.75
+)
+
+// NewGateway puts a daemon for the users' platform together and opens its
+// listeners.
+func NewGateway(p *parser.Process, log *slog.Logger) (*Gateway, error) {
+	start := time.Now()
+	o := p.Gateway()
+	g := &Gateway{process: p, log: log, state: &tracker.State{}, store: platform.NewStore(p.Platform())}
+	g.lapse.Hold = time.Duration(holdShare * float64(o.Drain()))
+	g.table = announcer.NewTable(start, announcer.Member{
+		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
+	}, p.Silence())
+	g.announcer = announcer.New(g.table, announcer.Options{
+		Secret: p.Secret(), Seeds: p.Seeds(), Beat: p.Beat(), Control: p.Control(), Book: &watcher.Book{},
+		Instances: func() []keeper.Instance { return []keeper.Instance{} }, Learn: func([]keeper.Instance) {},
+		Serve: func(ctx context.Context, path string, body []byte) (any, error) {
+			return g.tracker.Serve(ctx, path, body)
+		},
+		Log: log,
+	})
+	g.tracker = tracker.New(g.state, g.store, g.announcer, p.Name(), func() []announcer.Member { return g.table.Live(time.Now()) }, log)
+	g.recorder = reporter.NewRecorder(log)
+	share, extra, window := o.Retries()
+	g.forwarder = forwarder.New(forwarder.Options{
+		Dialect: platform.Dialect{}, Domain: p.Domain(), Probes: probeShare * o.Probes(), Body: p.Body(), Log: log,
+		Retries: forwarder.Retries{Share: share, Allowance: extra, Window: window},
+		Entries: g.entries, Refresh: g.refresh, Record: g.recorder.Record,
+	})
+	return g, g.open()
+}
+
+// probeShare is the part of the budget for asking upstreams that is spent.
+const probeShare = 0.7
+
+// open opens the listeners.
+func (g *Gateway) open() error {
+	p := g.process
+	o := p.Gateway()
+	small := door{body: opsBody, header: smallHeaders, conns: peersAndOps}
+	g.doors = []gate{
+		{addr: p.Callers(), handle: g.forwarder.Handle, idle: gatewayIdle, door: door{body: p.Body(), header: p.Header(), conns: p.Conns()}},
+		{addr: p.Peers(), handle: g.announcer.Handle, idle: gatewayIdle, door: door{body: peersBody, header: smallHeaders, conns: peersAndOps}},
+		{addr: p.Ops(), handle: g.serveOps, idle: idleCaller, door: small},
+		{addr: o.Resolve(), handle: platform.Resolve(g.resolve), idle: idleCaller, door: small},
+		{addr: o.Ready(), handle: platform.Ready(g.ready), idle: idleCaller, door: small},
+	}
+	for i := range g.doors {
+		l, err := net.Listen("tcp", g.doors[i].addr)
+		if err != nil {
+			return errors.Annotatef(err, "listening at %s", g.doors[i].addr)
+		}
+		g.doors[i].Listener = l
+	}
+	return nil
+}
+
+// ready reports whether requests can be served here.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.forwarder.Table() != nil && g.state.Mark(time.Now(), tracker.Upstreams).AsOf > 0
+}
+
+// live returns the entries that can serve requests.
+func (g *Gateway) live() []announcer.Member {
+	list := g.table.Live(time.Now())
+	able := list[:0]
+	for _, m := range list {
+		if m.Digest > 0 {
+			able = append(able, m)
+		}
+	}
+	return able
+}
+
+// perDomain is how many entries of a failure domain carry a service: few, so
+// that what each counts is nearly all that there is, and more than one, so
+// that the loss of one is no outage.
+const perDomain = 2
+
+// resolve returns the entries that callers of a host in a failure domain are
+// to use, and for how long.
+func (g *Gateway) resolve(host, domain string) ([]string, time.Duration) {
+	service := ""
+	if t := g.forwarder.Table(); t != nil {
+		service = t.Host(host)
+	}
+	var near, far []announcer.Member
+	for _, m := range g.live() {
+		if m.Domain == domain {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	near, _ = resolver.Rank(service, near, perDomain)
+	far, _ = resolver.Rank(service, far, perDomain)
+	list := append(near, far...)
+	var out []string
+	for _, m := range list[:min(perDomain, len(list))] {
+		out = append(out, m.Callers)
+	}
+	return out, g.process.TTL()
+}
+
+// entries returns how many entries there are and how many carry a service.
+func (g *Gateway) entries(string) (all, carriers int) {
+	domains := make(map[string]int)
+	list := g.live()
+	for _, m := range list {
+		domains[m.Domain]++
+	}
+	for _, n := range domains {
+		carriers += min(n, perDomain)
+	}
+	return max(1, len(list)), max(1, carriers)
+}
+
+// refresh reads the configuration if what is known of it is not of this
+// moment.
+func (g *Gateway) refresh(ctx context.Context) {
+	if g.tracker.Refresh(ctx, tracker.Configs) {
+		g.adoptConfig()
+	}
+}
+
+// Run serves until ctx ends, then stops in order and returns.
+func (g *Gateway) Run(ctx context.Context) error {
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, live := errgroup.WithContext(live)
+	servers := make([]*fasthttp.Server, 0, len(g.doors))
+	for _, d := range g.doors {
+		s := d.server(d.handle)
+		s.IdleTimeout = d.idle
+		servers = append(servers, s)
+		group.Go(func() error { return s.Serve(d.Listener) })
+	}
+	duties := []func(context.Context) error{
+		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
+		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
+		g.tracker.Spread, g.announcer.Run, g.adopt, g.trim,
+	}
+	for _, f := range duties {
+		group.Go(func() error { return f(live) })
+	}
+	g.log.Info("entry started", "callers", g.process.Callers(), "peers", g.process.Peers(), "ops", g.process.Ops())
+	select {
+	case <-ctx.Done():
+		g.leave(live)
+	case <-live.Done():
+	}
+	for _, s := range servers {
+		_ = s.Shutdown()
+	}
+	stop()
+	err := group.Wait()
+	g.log.Info("entry stopped")
+	return errors.Trace(err)
+}
+
+// leaveMargin is what a planned stop leaves of its time, so that the process
+// ends by itself.
+const leaveMargin = 700 * time.Millisecond
+
+// leave takes the entry out of service: it is not ready any more and not in
+// the answers to callers, but serves those that still come until the time is
+// nearly up, or until none has come for a while.
+func (g *Gateway) leave(ctx context.Context) {
+	begun := time.Now()
+	g.log.Info("entry leaving", "running", g.forwarder.Running())
+	g.leaving.Store(true)
+	g.forwarder.Leave()
+	g.announcer.Farewell(ctx)
+	sleeper.Sleep(ctx, time.Until(begun.Add(g.process.Gateway().Grace()-leaveMargin)))
+	g.log.Info("entry left", "running", g.forwarder.Running(), "took_ms", time.Since(begun).Milliseconds())
+}
+
+// adopt puts what the store says in force as it changes.
+func (g *Gateway) adopt(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := g.state.Changed()
+		g.adoptConfig()
+		next := g.adoptUpstreams()
+		var look <-chan time.Time
+		if !next.IsZero() {
+			look = time.After(time.Until(next))
+		}
+		select {
+		case <-changed:
+		case <-look:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// adoptConfig puts the newest configuration in force if it is newer than the
+// one that is.
+func (g *Gateway) adoptConfig() {
+	for _, c := range g.state.All(tracker.Configs) {
+		if c.Config == nil {
+			continue
+		}
+		old := g.forwarder.Table()
+		if old != nil && c.Config.Version <= old.Version() {
+			continue
+		}
+		t, err := router.NewTable(*c.Config, old)
+		if err != nil {
+			g.log.Warn("configuration refused", "version", c.Config.Version, "rev", c.Revision, "error", err.Error())
+			continue
+		}
+		g.forwarder.Configure(t)
+		g.table.Describe(uint64(t.Version()), nil, nil)
+		g.log.Info("configuration in force", "version", t.Version(), "rev", c.Revision, "routes", len(c.Config.Routes))
+	}
+}
+
+// adoptUpstreams brings the upstreams in use in step. It returns when to look
+// again.
+func (g *Gateway) adoptUpstreams() time.Time {
+	named := make(map[string]placer.Spec)
+	for _, c := range g.state.All(tracker.Upstreams) {
+		if c.Upstream != nil {
+			named[c.Name] = *c.Upstream
+		}
+	}
+	use, next := g.lapse.Step(time.Now(), named)
+	for id := range g.used {
+		if _, ok := use[id]; !ok {
+			g.forwarder.Remove(id)
+		}
+	}
+	for id, s := range use {
+		if old, ok := g.used[id]; !ok || old != s {
+			g.forwarder.Put(s)
+		}
+	}
+	g.used = use
+	return next
+}
+
+func (g *Gateway) trim(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleeper.Sleep(ctx, trimEvery)
+		g.forwarder.Pool().Trim()
+	}
+	return nil
+}
+
+func (g *Gateway) serveOps(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(fasthttp.StatusNotFound)
+}
