announcer: entries speak mostly within their failure domain

Now each beat goes to peers of the own domain, and the domain's first entry speaks to one peer elsewhere. A request without a route reads the store only if the copy is older than any entry's may be.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -42,7 +42,10 @@
 	Seeds   []string
 	Beat    time.Duration
 	Control int
-	Book    *watcher.Book
+	// Local says that entries speak mostly within their failure domain: the
+	// first of each speaks for it to the others, which are dear to reach.
+	Local bool
+	Book  *watcher.Book
 	// Instances returns the platform's list as last seen, and Learn takes in
 	// a list that a peer saw.
 	Instances func() []keeper.Instance
@@ -108,8 +111,7 @@
 				peers = append(peers, Member{Peers: s})
 			}
 		}
-		a.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, p := range peers[:min(fanout, len(peers))] {
+		for _, p := range a.targets(peers) {
 			go a.greet(ctx, p)
 		}
 		sleeper.Sleep(ctx, a.options.Beat)
@@ -117,6 +119,45 @@
 	return nil
 }
 
+// farShare is how often an entry that does not speak for its failure domain
+// speaks to another one all the same, so that domains that lost sight of each
+// other's first entries find together again.
+const farShare = 1.0 / 16
+
+// targets returns the peers to speak to at one beat.
+func (a *Announcer) targets(peers []Member) []Member {
+	a.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if !a.options.Local {
+		return peers[:min(fanout, len(peers))]
+	}
+	self, _ := a.table.Self()
+	var near, far []Member
+	for _, p := range peers {
+		if p.Domain == self.Domain {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	out := near[:min(fanout, len(near))]
+	first := a.first(self)
+	if len(far) > 0 && (first || len(near) == 0 || a.random.Float64() < farShare) {
+		out = append(out, far[0])
+	}
+	return out
+}
+
+// first reports whether this entry is the first live one of its failure
+// domain.
+func (a *Announcer) first(self Member) bool {
+	for _, m := range a.table.Live(time.Now()) {
+		if m.Domain == self.Domain {
+			return m.Name == self.Name
+		}
+	}
+	return true
+}
+
 // Farewell tells every peer at once that this entry is leaving.
 func (a *Announcer) Farewell(ctx context.Context) {
 	a.table.Leave()
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -75,6 +75,7 @@
 	g.announcer = announcer.New(g.table, announcer.Options{
 		Secret: p.Secret(), Seeds: p.Seeds(), Beat: p.Beat(), Control: p.Control(), Book: &watcher.Book{},
 		Instances: func() []keeper.Instance { return []keeper.Instance{} }, Learn: func([]keeper.Instance) {},
+		Local: true,
 		Serve: func(ctx context.Context, path string, body []byte) (any, error) {
 			return g.tracker.Serve(ctx, path, body)
 		},
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -127,10 +127,12 @@
 	}
 }
 
-// freshAge is the age up to which a copy counts as of this moment.
-const freshAge = 200 * time.Millisecond
+// freshAge is the age up to which a copy counts as new enough not to be read
+// again before a request is told that it has no route: a change is in force
+// within the time in which any entry hears of it.
+const freshAge = staleAge + checkEvery
 
-// Refresh reads the store once unless the copy of the kind is of this moment.
+// Refresh reads the store once unless the copy of the kind is new enough.
 // It reports whether it read.
 func (t *Tracker) Refresh(ctx context.Context, k Kind) bool {
 	m := t.state.Mark(time.Now(), k)
