forwarder: near upstreams are asked first; entries enroll in the store

Entries now enroll in a kind of their own and read it every ten seconds; a seed is greeted now and then. Cause 2: news to a whole failure domain spent the budget for peer messages, so that a domain heard nothing for two seconds and read the store itself. News is not held back, and both kinds' watches end together so that one message tells. Cause 3: of three upstreams asked one was often far. Near ones are asked first, far ones only if no near one is good enough.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -144,6 +144,9 @@
 	if len(far) > 0 && (first || len(near) == 0 || a.random.Float64() < farShare) {
 		out = append(out, far[0])
 	}
+	if n := len(a.options.Seeds); n > 0 && a.random.Float64() < farShare {
+		out = append(out, Member{Peers: a.options.Seeds[a.random.IntN(n)]})
+	}
 	return out
 }
 
@@ -269,9 +272,14 @@
 	return a.options.Serve(context.Background(), path, body)
 }
 
-// Send sends a message to a path of the member and decodes its answer.
+// Send sends a message to a path of the member and decodes its answer. It is
+// not held back when the budget is spent: its sender bounds what it sends.
 func (a *Announcer) Send(ctx context.Context, m Member, path string, message, answer any) error {
-	data, err := a.call(ctx, m, path, message)
+	body, err := pack(message)
+	if err != nil {
+		return err
+	}
+	data, err := a.exchange(ctx, m, path, body)
 	if err != nil {
 		return err
 	}
@@ -288,6 +296,11 @@
 		a.skipped.Add(1)
 		return nil, errPeer
 	}
+	return a.exchange(ctx, p, path, body)
+}
+
+// exchange sends one sealed body and returns the peer's sealed answer.
+func (a *Announcer) exchange(ctx context.Context, p Member, path string, body []byte) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -79,49 +79,61 @@
 }
 
 // choose asks a few upstreams for their load and takes the best, which has its
-// request counted then. It returns a nil upstream if none has a slot.
+// request counted then: near ones first, and ones of other failure domains if
+// those could be better. It returns a nil upstream if none has a slot.
 func (x *exchange) choose() asked {
-	s := x.service
-	s.mu.Lock()
-	list := s.fleet.Ask(nil, time.Now(), askedAtOnce, x.tried)
-	s.mu.Unlock()
-	if len(list) == 0 {
-		return asked{}
+	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, 2*askedAtOnce)}
+	var all []asked
+	var best *placer.Upstream
+	for _, scope := range []placer.Scope{placer.Near, placer.Far} {
+		x.service.mu.Lock()
+		list := x.service.fleet.Ask(nil, time.Now(), askedAtOnce, scope, x.tried)
+		x.service.mu.Unlock()
+		if len(list) > 0 {
+			all = x.collect(q, list, all)
+		}
+		var enough bool
+		if best, enough = x.take(all, scope == placer.Far); enough {
+			break
+		}
+	}
+	won := asked{upstream: best}
+	for _, a := range all {
+		if best != nil && a.upstream == best {
+			won = a
+		}
 	}
-	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, len(list))}
+	q.end(all, won.conn)
+	return won
+}
+
+// collect asks the upstreams of the list at once and appends their answers to
+// all, those of earlier questions that come late among them. It returns when
+// an answer can hardly be bettered, when all came, or when the others take too
+// long.
+func (x *exchange) collect(q *inquiry, list []*placer.Upstream, all []asked) []asked {
 	for _, u := range list {
 		go func() { q.deliver(x.ask(u)) }()
 	}
-	var all []asked
-	var heard []*placer.Upstream
 	timer := time.NewTimer(askWait)
 	defer timer.Stop()
-	for len(all) < len(list) {
+	heard := false
+	for range list {
 		select {
 		case a := <-q.answers:
 			all = append(all, a)
-			if a.conn != nil {
-				heard = append(heard, a.upstream)
-				if len(heard) == 1 {
-					timer.Reset(askMore)
-				}
+			if a.conn != nil && !heard {
+				heard = true
+				timer.Reset(askMore)
 			}
-			if !x.satisfied(a) {
-				continue
+			if x.satisfied(a) {
+				return all
 			}
 		case <-timer.C:
-		}
-		break
-	}
-	best := x.take(heard)
-	won := asked{upstream: best}
-	for _, a := range all {
-		if best != nil && a.upstream == best {
-			won = a
+			return all
 		}
 	}
-	q.end(all, won.conn)
-	return won
+	return all
 }
 
 // satisfied reports whether no better answer than this one can come.
@@ -134,15 +146,25 @@
 	return x.service.fleet.Ideal(time.Now(), a.upstream)
 }
 
-// take takes the best of the upstreams that answered.
-func (x *exchange) take(heard []*placer.Upstream) *placer.Upstream {
+// take takes the best of the upstreams that answered, if it is good enough or
+// the last that can be had. It reports whether it did.
+func (x *exchange) take(all []asked, last bool) (*placer.Upstream, bool) {
+	var heard []*placer.Upstream
+	for _, a := range all {
+		if a.conn != nil {
+			heard = append(heard, a.upstream)
+		}
+	}
+	f := &x.service.fleet
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
-	best := x.service.fleet.Best(time.Now(), heard)
-	if best != nil {
-		x.service.fleet.Start(best)
+	now := time.Now()
+	best := f.Best(now, heard)
+	if best == nil || !last && !f.Enough(now, best) {
+		return nil, false
 	}
-	return best
+	f.Start(best)
+	return best, true
 }
 
 // ask asks one upstream for its load.
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -122,15 +122,27 @@
 	return f.Rand.Float64()
 }
 
-// Ask appends to dst the upstreams whose load is to be asked for before a
-// request is sent: the n that look best. Those that skip reports are passed
-// over.
-func (f *Fleet) Ask(dst []*Upstream, now time.Time, n int, skip func(*Upstream) bool) []*Upstream {
+// Scope says which upstreams a question goes to.
+type Scope int
+
+// The scopes of questions.
+const (
+	// Near means the failure domain of the entry.
+	Near Scope = iota
+	// Far means the others.
+	Far
+)
+
+// Ask appends to dst the upstreams of the scope whose load is to be asked for
+// before a request is sent: the n that look best. Those that skip reports are
+// passed over, and those whose budget of questions is spent.
+func (f *Fleet) Ask(dst []*Upstream, now time.Time, n int, scope Scope, skip func(*Upstream) bool) []*Upstream {
 	for _, c := range f.rank(now, skip) {
 		if len(dst) == n {
 			break
 		}
-		if c.upstream.pay(now, f.Probes) {
+		near := c.upstream.spec.Domain == f.Domain
+		if near == (scope == Near) && c.upstream.pay(now, f.Probes) {
 			dst = append(dst, c.upstream)
 		}
 	}
@@ -138,10 +150,16 @@
 }
 
 // Ideal reports whether an upstream that was just heard of can hardly be
-// bettered: it is near, works at its usual pace, and has slots to spare.
+// bettered by others of its scope: it works at its usual pace, and has slots
+// to spare.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.usable(now) && u.spec.Domain == f.Domain && u.slowness(now) <= idealSlowness &&
-		u.busy(now)+1 <= kneeShare*float64(u.Slots())
+	return u.usable(now) && u.slowness(now) <= idealSlowness && u.busy(now)+1 <= kneeShare*float64(u.Slots())
+}
+
+// Enough reports whether no upstream of another failure domain can be better
+// than u, which was just heard of, by more than it costs to go there.
+func (f *Fleet) Enough(now time.Time, u *Upstream) bool {
+	return u != nil && u.cost(now) <= 1+awayCost
 }
 
 // idealSlowness is the pace that counts as usual.
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -200,7 +200,7 @@
 	duties := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Spread, g.announcer.Run, g.adopt, g.trim,
+		g.tracker.Spread, g.announcer.Run, g.enroll, g.adopt, g.trim,
 	}
 	for _, f := range duties {
 		group.Go(func() error { return f(live) })
@@ -237,6 +237,42 @@
 	g.log.Info("entry left", "running", g.forwarder.Running(), "took_ms", time.Since(begun).Milliseconds())
 }
 
+const (
+	// enrollEvery is how often the list of entries is read: those that lost
+	// sight of each other find together again by it.
+	enrollEvery = 10 * time.Second
+	enrollWait  = 500 * time.Millisecond
+)
+
+// enroll makes this entry known in the store, and the others known here.
+func (g *Gateway) enroll(ctx context.Context) error {
+	self, _ := g.table.Self()
+	self.Epoch = 0
+	known := false
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, enrollWait)
+		if !known {
+			err := g.store.Enroll(limited, self)
+			known = err == nil
+			if err != nil {
+				g.log.Warn("entry not enrolled yet", "error", err.Error())
+			}
+		}
+		list, err := g.store.Enrolled(limited)
+		cancel()
+		if err != nil {
+			g.log.Warn("list of entries not read", "error", err.Error())
+		}
+		g.table.Introduce(time.Now(), false, list...)
+		pause := enrollEvery
+		if !known || err != nil || len(list) < 2 {
+			pause = time.Second
+		}
+		sleeper.Sleep(ctx, pause)
+	}
+	return nil
+}
+
 // adopt puts what the store says in force as it changes.
 func (g *Gateway) adopt(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -46,7 +46,12 @@
 const (
 	// watchWait is how long a watch waits: the news of others is at most this
 	// old while all is well, and every entry counts on it being under staleAge.
-	watchWait = 800 * time.Millisecond
+	watchWait = 750 * time.Millisecond
+	// shortWait is the least time that a watch is worth beginning for.
+	shortWait = 100 * time.Millisecond
+	// tellDelay is how long news is held so that what comes at the same time
+	// goes in the same message.
+	tellDelay = 3 * time.Millisecond
 	// answerWait is how long a call to the store may take beyond its wait.
 	answerWait = 350 * time.Millisecond
 	// staleAge is the age at which an entry that heard nothing reads by
@@ -97,7 +102,7 @@
 		case m.AsOf == 0:
 			err = t.list(ctx, k)
 		case watch:
-			err = t.watch(ctx, k, m.AsOf, watchWait)
+			err = t.watch(ctx, k, m.AsOf, untilBeat(time.Now()))
 		case m.Age > staleAge:
 			err = t.watch(ctx, k, m.AsOf, time.Millisecond)
 		default:
@@ -113,6 +118,16 @@
 	return nil
 }
 
+// untilBeat returns how long a watch that begins now waits, so that the
+// watches of all kinds end together and one message tells of them.
+func untilBeat(now time.Time) time.Duration {
+	d := watchWait - time.Duration(now.UnixNano()%int64(watchWait))
+	if d < shortWait {
+		d += watchWait
+	}
+	return d
+}
+
 // note logs when the store is lost or found again.
 func (t *Tracker) note(k Kind, err error) {
 	ok := err == nil
@@ -224,6 +239,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		sleeper.Sleep(ctx, tellDelay)
 		tell := MakePlan(t.self, t.live()).Tell
 		if len(tell) == 0 {
 			continue
