--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -64,6 +64,8 @@
 	// budget pays for the bytes of messages that this entry starts.
 	budget *rate.Limiter
 	random *mathrand.Rand
+	// beats counts heartbeats. Only Run touches it.
+	beats int
 	// sent, received, skipped and refused count bytes, bytes, exchanges that
 	// the budget denied, and messages that were not let in.
 	sent, received, skipped, refused atomic.Int64
@@ -122,7 +124,11 @@
 // farShare is how often an entry that does not speak for its failure domain
 // speaks to another one all the same, so that domains that lost sight of each
 // other's first entries find together again.
-const farShare = 1.0 / 16
+const farShare = 1.0 / 64
+
+// farBeats is after how many beats the first entry of a failure domain speaks
+// to another one.
+const farBeats = 3
 
 // targets returns the peers to speak to at one beat.
 func (a *Announcer) targets(peers []Member) []Member {
@@ -140,8 +146,9 @@
 		}
 	}
 	out := near[:min(fanout, len(near))]
-	first := a.first(self)
-	if len(far) > 0 && (first || len(near) == 0 || a.random.Float64() < farShare) {
+	a.beats++
+	turn := a.beats%farBeats == 0 && a.first(self)
+	if len(far) > 0 && (turn || len(near) == 0 || a.random.Float64() < farShare) {
 		out = append(out, far[0])
 	}
 	if n := len(a.options.Seeds); n > 0 && a.random.Float64() < farShare {
--- a/announcer/table.go
+++ b/announcer/table.go
@@ -63,6 +63,8 @@
 // use.
 type Table struct {
 	silence time.Duration
+	// far is the same for members of other failure domains.
+	far time.Duration
 
 	mu   sync.Mutex
 	self *row
@@ -75,7 +77,15 @@
 // of for silence is not live.
 func NewTable(now time.Time, self Member, silence time.Duration) *Table {
 	r := &row{member: self, brief: Brief{Name: self.Name, Epoch: self.Epoch}, heard: now, direct: now}
-	return &Table{silence: silence, self: r, rows: map[string]*row{self.Name: r}, ticked: now}
+	return &Table{silence: silence, far: silence, self: r, rows: map[string]*row{self.Name: r}, ticked: now}
+}
+
+// Allow sets how long members of other failure domains may not be heard of,
+// for tables whose news from there takes longer.
+func (t *Table) Allow(far time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.far = far
 }
 
 // forgetAfter is how many silences pass before a member is forgotten.
@@ -223,7 +233,7 @@
 	defer t.mu.Unlock()
 	out := make([]Brief, 0, len(t.rows))
 	for _, name := range slices.Sorted(maps.Keys(t.rows)) {
-		if r := t.rows[name]; r.brief.Beat > 0 && now.Sub(r.heard) < t.silence {
+		if r := t.rows[name]; t.live(now, r) && r.brief.Beat > 0 {
 			out = append(out, r.brief)
 		}
 	}
@@ -275,7 +285,11 @@
 }
 
 func (t *Table) live(now time.Time, r *row) bool {
-	return r == t.self || r.brief.Beat > 0 && now.Sub(r.heard) < t.silence
+	silence := t.silence
+	if r.member.Domain != t.self.member.Domain {
+		silence = t.far
+	}
+	return r == t.self || r.brief.Beat > 0 && now.Sub(r.heard) < silence
 }
 
 func (t *Table) members(keep func(*row) bool) []Member {
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -82,7 +82,7 @@
 
 // awayCost is what it costs to leave the failure domain, in units of a
 // request's usual work: crossing it is slower and is paid by the byte.
-const awayCost = 0.35
+const awayCost = 0.8
 
 // candidate is an upstream with the cost of sending to it.
 type candidate struct {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -62,6 +62,10 @@
 	holdShare = 0.75
 )
 
+// farSilence is how many times as long entries of other failure domains may not
+// be heard of: their news comes by way of two entries that speak seldom.
+const farSilence = 3
+
 // NewGateway puts a daemon for the users' platform together and opens its
 // listeners.
 func NewGateway(p *parser.Process, log *slog.Logger) (*Gateway, error) {
@@ -72,6 +76,7 @@
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
 	}, p.Silence())
+	g.table.Allow(farSilence * p.Silence())
 	g.announcer = announcer.New(g.table, announcer.Options{
 		Secret: p.Secret(), Seeds: p.Seeds(), Beat: p.Beat(), Control: p.Control(), Book: &watcher.Book{},
 		Instances: func() []keeper.Instance { return []keeper.Instance{} }, Learn: func([]keeper.Instance) {},
