--- a/cmd/poplarwind/main.go
+++ b/cmd/poplarwind/main.go
@@ -62,7 +62,7 @@
 		<-flushed
 	}()
 	log := slog.New(slog.NewJSONHandler(lines, nil)).With("entry", p.Name())
-	r, err := build(p, log)
+	r, err := build(p, log, lines.Dropped)
 	if err != nil {
 		log.Error("entry can't start", "error", err.Error())
 		return exitFailed
@@ -82,9 +82,9 @@
 	Run(ctx context.Context) error
 }
 
-func build(p *parser.Process, log *slog.Logger) (daemon, error) {
+func build(p *parser.Process, log *slog.Logger, dropped func() int64) (daemon, error) {
 	if p.Gateway().On() {
-		return runner.NewGateway(p, log)
+		return runner.NewGateway(p, log, dropped)
 	}
 	return runner.New(p, log)
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/internal/httper"
+	"poplarwind/placer"
 )
 
 // statuses gives the status of requests that no upstream may have run, by the
@@ -98,9 +99,23 @@
 
 // Load is what was known of an upstream's load.
 type Load struct {
-	Own, Running, Waiting int
-	Slowness              float64
-	Age                   time.Duration
+	// Own counts this entry's requests there, Running and Waiting those of
+	// all, as the upstream last told.
+	Own      int     `json:"own"`
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Slowness float64 `json:"slowness"`
+	// Age is how old the report is, negative if there was none.
+	Age time.Duration `json:"age_ns"`
+}
+
+func loadOf(u *placer.Upstream, now time.Time) Load {
+	r := u.Report()
+	l := Load{Own: u.Own(), Running: r.Running, Waiting: r.Waiting, Slowness: r.Slowness, Age: -1}
+	if !r.At.IsZero() {
+		l.Age = now.Sub(r.At)
+	}
+	return l
 }
 
 func (x *exchange) record(v verdict) *Record {
@@ -120,9 +135,8 @@
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	for _, u := range x.attempts {
-		l := u.Report()
 		r.Upstreams = append(r.Upstreams, u.ID())
-		r.Loads = append(r.Loads, Load{Own: u.Own(), Running: l.Running, Waiting: l.Waiting, Slowness: l.Slowness, Age: now.Sub(l.At)})
+		r.Loads = append(r.Loads, loadOf(u, now))
 	}
 	return r
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	Refresh func(ctx context.Context)
 	// Record is told how each request ended, nil for nobody.
 	Record func(*Record)
+	// Open opens a connection to an upstream, nil meaning over TCP.
+	Open func(ctx context.Context, addr string) (net.Conn, error)
 	// Log is told what changes beliefs about upstreams.
 	Log *slog.Logger
 }
@@ -86,7 +89,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Forwarder{options: o, pool: &pooler.Pool{Dial: dialWait, Buffer: headerBuffer}, services: make(map[string]*service)}
+	return &Forwarder{options: o, pool: &pooler.Pool{Dial: dialWait, Buffer: headerBuffer, Open: o.Open}, services: make(map[string]*service)}
 }
 
 // Configure puts a configuration in force.
--- /dev/null
+++ b/forwarder/status.go
@@ -0,0 +1,60 @@
+package forwarder
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ServiceStatus is what an entry tells of one service.
+type ServiceStatus struct {
+	Name string `json:"name"`
+	// Waiting is how many requests wait for a slot here.
+	Waiting int `json:"waiting"`
+	// Usable is how many upstreams may be sent requests.
+	Usable    int              `json:"usable"`
+	Carriers  int              `json:"carriers"`
+	Usual     time.Duration    `json:"usual_ns"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is what an entry tells of one upstream.
+type UpstreamStatus struct {
+	ID      string `json:"id"`
+	Addr    string `json:"addr"`
+	Domain  string `json:"domain"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Ejected bool   `json:"ejected,omitempty"`
+	Load    Load   `json:"load"`
+}
+
+// Status returns what this entry knows of its services, by name.
+func (f *Forwarder) Status() []ServiceStatus {
+	f.mu.Lock()
+	list := make([]*service, 0, len(f.services))
+	for _, name := range slices.Sorted(maps.Keys(f.services)) {
+		list = append(list, f.services[name])
+	}
+	f.mu.Unlock()
+	out := make([]ServiceStatus, 0, len(list))
+	for _, s := range list {
+		out = append(out, s.status(time.Now()))
+	}
+	return out
+}
+
+func (s *service) status(now time.Time) ServiceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := ServiceStatus{Name: s.name, Waiting: s.line.Len(), Carriers: s.carriers, Usual: s.fleet.Usual()}
+	for _, u := range s.fleet.List() {
+		if u.Usable(now) {
+			out.Usable++
+		}
+		spec := u.Spec()
+		out.Upstreams = append(out.Upstreams, UpstreamStatus{
+			ID: spec.ID, Addr: spec.Addr, Domain: spec.Domain, Leaving: spec.Leaving, Ejected: u.Ejected(now), Load: loadOf(u, now),
+		})
+	}
+	return out
+}
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -81,7 +81,7 @@
 func (f *Fleet) keepOut(now time.Time, u *Upstream) {
 	in := 0
 	for _, v := range f.list {
-		if v != u && v.usable(now) {
+		if v != u && v.Usable(now) {
 			in++
 		}
 	}
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -63,7 +63,7 @@
 func (f *Fleet) Slots(now time.Time) int {
 	n := 0
 	for _, u := range f.list {
-		if u.usable(now) {
+		if u.Usable(now) {
 			n += u.Slots()
 		}
 	}
@@ -73,7 +73,7 @@
 // Free reports whether some usable upstream has a free slot by what is known.
 func (f *Fleet) Free(now time.Time) bool {
 	for _, u := range f.list {
-		if u.usable(now) && u.busy(now) < float64(u.Slots()) {
+		if u.Usable(now) && u.busy(now) < float64(u.Slots()) {
 			return true
 		}
 	}
@@ -94,7 +94,7 @@
 func (f *Fleet) rank(now time.Time, skip func(*Upstream) bool) []candidate {
 	out := make([]candidate, 0, len(f.list))
 	for _, u := range f.list {
-		if !u.usable(now) || skip != nil && skip(u) {
+		if !u.Usable(now) || skip != nil && skip(u) {
 			continue
 		}
 		c := u.cost(now) + 0.1*f.float() + 0.5*float64(u.silent)
@@ -153,7 +153,7 @@
 // bettered by others of its scope: it works at its usual pace, and has slots
 // to spare.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.usable(now) && u.slowness(now) <= idealSlowness && u.busy(now)+1 <= kneeShare*float64(u.Slots())
+	return u.Usable(now) && u.slowness(now) <= idealSlowness && u.busy(now)+1 <= kneeShare*float64(u.Slots())
 }
 
 // Enough reports whether no upstream of another failure domain can be better
@@ -172,7 +172,7 @@
 	var best *Upstream
 	lowest := 0.0
 	for _, u := range asked {
-		if !u.usable(now) || u.busy(now) >= float64(u.Slots()) {
+		if !u.Usable(now) || u.busy(now) >= float64(u.Slots()) {
 			continue
 		}
 		c := u.cost(now)
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -81,8 +81,8 @@
 // Ejected reports whether the upstream is kept out after failures.
 func (u *Upstream) Ejected(now time.Time) bool { return now.Before(u.ejected) }
 
-// usable reports whether requests may be sent to the upstream.
-func (u *Upstream) usable(now time.Time) bool {
+// Usable reports whether requests may be sent to the upstream.
+func (u *Upstream) Usable(now time.Time) bool {
 	return !u.gone && !u.spec.Leaving && !u.Ejected(now)
 }
 
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -36,6 +36,7 @@
 	announcer *announcer.Announcer
 	forwarder *forwarder.Forwarder
 	recorder  *reporter.Recorder
+	reporter  *reporter.Gateway
 	doors     []gate
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
@@ -67,8 +68,8 @@
 const farSilence = 3
 
 // NewGateway puts a daemon for the users' platform together and opens its
-// listeners.
-func NewGateway(p *parser.Process, log *slog.Logger) (*Gateway, error) {
+// listeners. Dropped returns how many log lines were dropped.
+func NewGateway(p *parser.Process, log *slog.Logger, dropped func() int64) (*Gateway, error) {
 	start := time.Now()
 	o := p.Gateway()
 	g := &Gateway{process: p, log: log, state: &tracker.State{}, store: platform.NewStore(p.Platform())}
@@ -92,8 +93,16 @@
 	g.forwarder = forwarder.New(forwarder.Options{
 		Dialect: platform.Dialect{}, Domain: p.Domain(), Probes: probeShare * o.Probes(), Body: p.Body(), Log: log,
 		Retries: forwarder.Retries{Share: share, Allowance: extra, Window: window},
-		Entries: g.entries, Refresh: g.refresh, Record: g.recorder.Record,
+		Entries: g.entries, Refresh: g.refresh, Record: g.record,
 	})
+	var err error
+	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
+		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Tracker: g.tracker, Table: g.table,
+		Announcer: g.announcer, Forwarder: g.forwarder, Calls: g.store.Calls, Dropped: dropped,
+	})
+	if err != nil {
+		return nil, err
+	}
 	return g, g.open()
 }
 
@@ -108,7 +117,7 @@
 	g.doors = []gate{
 		{addr: p.Callers(), handle: g.forwarder.Handle, idle: gatewayIdle, door: door{body: p.Body(), header: p.Header(), conns: p.Conns()}},
 		{addr: p.Peers(), handle: g.announcer.Handle, idle: gatewayIdle, door: door{body: peersBody, header: smallHeaders, conns: peersAndOps}},
-		{addr: p.Ops(), handle: g.serveOps, idle: idleCaller, door: small},
+		{addr: p.Ops(), handle: g.reporter.Handle, idle: idleCaller, door: small},
 		{addr: o.Resolve(), handle: platform.Resolve(g.resolve), idle: idleCaller, door: small},
 		{addr: o.Ready(), handle: platform.Ready(g.ready), idle: idleCaller, door: small},
 	}
@@ -351,6 +360,7 @@
 	return nil
 }
 
-func (g *Gateway) serveOps(ctx *fasthttp.RequestCtx) {
-	ctx.SetStatusCode(fasthttp.StatusNotFound)
+func (g *Gateway) record(r *forwarder.Record) {
+	g.recorder.Record(r)
+	g.reporter.Observe(r)
 }
