--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"poplarwind/internal/scripter"
+)
+
+func load(t *testing.T, file string) Spec {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Spec
+	if err := json.Unmarshal(text, &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestRoutes runs the scripts of requests against tables.
+func TestRoutes(t *testing.T) {
+	scripter.Run(t, "testdata/*.txt", func(t *testing.T) func([]string) string {
+		var table *Table
+		return func(args []string) string {
+			switch args[0] {
+			case "load":
+				next, err := NewTable(load(t, "testdata/"+args[1]), table)
+				if err != nil {
+					return err.Error()
+				}
+				table = next
+				return fmt.Sprint(table.Version())
+			case "find":
+				if p := table.Find(args[1], args[2]); p != nil {
+					return p.Name
+				}
+				return "none"
+			case "host":
+				return table.Host(args[1])
+			case "deal":
+				p := table.Find(args[1], args[2])
+				n, err := strconv.Atoi(args[3])
+				if err != nil {
+					t.Fatal(err)
+				}
+				count := map[string]int{}
+				for range n {
+					count[p.Next()]++
+				}
+				return fmt.Sprint(count)
+			}
+			return "unknown command"
+		}
+	})
+}
+
+// TestInvalid breaks one field after the other: the error names the field.
+func TestInvalid(t *testing.T) {
+	for _, v := range []struct {
+		field string
+		spoil func(*Spec)
+	}{
+		{"version", func(s *Spec) { s.Version = 0 }},
+		{"routes[0].host", func(s *Spec) { s.Routes[0].Host = "" }},
+		{"routes[1].prefix", func(s *Spec) { s.Routes[1].Prefix = "/open" }},
+		{"routes[1].attempts", func(s *Spec) { s.Routes[1].Attempts = 0 }},
+		{"routes[0].timeout", func(s *Spec) { s.Routes[0].Timeout = 0 }},
+		{"routes[0].objective", func(s *Spec) { s.Routes[0].Objective = -1 }},
+		{"routes[0].parts", func(s *Spec) { s.Routes[0].Parts = nil }},
+		{"routes[0].parts[0]", func(s *Spec) { s.Routes[0].Parts = []Part{{Service: "jobs", Weight: -1}} }},
+		{"routes[0].parts", func(s *Spec) { s.Routes[0].Parts = []Part{{Service: "jobs"}} }},
+		{"services[0].name", func(s *Spec) { s.Services[0].Name = "" }},
+	} {
+		s := load(t, "testdata/small.json")
+		v.spoil(&s)
+		_, err := NewTable(s, nil)
+		if !errors.Is(err, ErrInvalid) || len(err.Error()) < len(v.field) || err.Error()[:len(v.field)] != v.field {
+			t.Errorf("got: %v want: %s named", err, v.field)
+		}
+	}
+}
