placer, forwarder: wait for a good upstream rather than send into a slow phase

Cause, by a trial that logged each send with what was known then: how slow an upstream is when a request starts holds for the whole request. One sent into a slow phase takes 4 to 5 times as long (465 ms for 120), though the phase itself lasts some 150 ms, and holds its slot all that while. Change: a request waits unless it can be answered by its objective, or at hardly more than the usual cost. Work is learned by route, the price of the last slots by service, both from answers. A request in the line is refused as soon as those before it leave it no time.

--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -27,6 +27,8 @@
 type asked struct {
 	upstream *placer.Upstream
 	conn     *pooler.Conn
+	// attempt is set for the one that was taken.
+	attempt *placer.Attempt
 }
 
 // inquiry collects the answers of upstreams that are asked at once.
@@ -78,13 +80,40 @@
 	}
 }
 
-// choose asks a few upstreams for their load and takes the best, which has its
-// request counted then: near ones first, and ones of other failure domains if
-// those could be better. It returns a nil upstream if none has a slot.
+// choose takes the best upstream, which has its request counted then. One that
+// told of its load just now is taken at once; otherwise a few are asked, near
+// ones first, and ones of other failure domains if those could be better. It
+// returns a nil attempt if none has room, or if it is better to wait.
 func (x *exchange) choose() asked {
+	s := x.service
+	s.mu.Lock()
+	now := time.Now()
+	if u := s.fleet.Fresh(now, x.tried); u != nil {
+		a := s.fleet.Start(now, u)
+		s.mu.Unlock()
+		return x.connect(a)
+	}
+	s.mu.Unlock()
+	return x.inquire()
+}
+
+// connect finds a connection to an upstream that was taken without a question.
+// One for a request that must not run twice is new or was used just now.
+func (x *exchange) connect(a *placer.Attempt) asked {
+	ctx, cancel := context.WithTimeout(context.Background(), askWait)
+	defer cancel()
+	u := a.Upstream()
+	c, err := x.forwarder.pool.Get(ctx, u.Addr(), x.connLimit(), !x.path.Idempotent)
+	if err != nil {
+		x.forwarder.options.Log.Debug("upstream not reached", "upstream", u.ID(), "error", err.Error())
+	}
+	return asked{upstream: u, conn: c, attempt: a}
+}
+
+// inquire asks upstreams for their load and takes the best.
+func (x *exchange) inquire() (won asked) {
 	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, 2*askedAtOnce)}
 	var all []asked
-	var best *placer.Upstream
 	for _, scope := range []placer.Scope{placer.Near, placer.Far} {
 		x.service.mu.Lock()
 		list := x.service.fleet.Ask(nil, time.Now(), askedAtOnce, scope, x.tried)
@@ -92,17 +121,10 @@
 		if len(list) > 0 {
 			all = x.collect(q, list, all)
 		}
-		var enough bool
-		if best, enough = x.take(all, scope == placer.Far); enough {
+		if won = x.take(all, scope == placer.Far); won.attempt != nil {
 			break
 		}
 	}
-	won := asked{upstream: best}
-	for _, a := range all {
-		if best != nil && a.upstream == best {
-			won = a
-		}
-	}
 	q.end(all, won.conn)
 	return won
 }
@@ -147,8 +169,8 @@
 }
 
 // take takes the best of the upstreams that answered, if it is good enough or
-// the last that can be had. It reports whether it did.
-func (x *exchange) take(all []asked, last bool) (*placer.Upstream, bool) {
+// the last that can be had, and if it is not better to wait for another.
+func (x *exchange) take(all []asked, last bool) asked {
 	var heard []*placer.Upstream
 	for _, a := range all {
 		if a.conn != nil {
@@ -160,11 +182,27 @@
 	defer x.service.mu.Unlock()
 	now := time.Now()
 	best := f.Best(now, heard)
-	if best == nil || !last && !f.Enough(now, best) {
-		return nil, false
+	if best == nil || !last && !f.Enough(now, best) || !x.worth(now, f.Cost(now, best)) {
+		return asked{}
+	}
+	for _, a := range all {
+		if a.upstream == best {
+			a.attempt = f.Start(now, best)
+			return a
+		}
 	}
-	f.Start(best)
-	return best, true
+	return asked{}
+}
+
+// waitCost is the cost from which it is better to wait for another upstream: a
+// slow phase passes sooner than a request that is sent into it.
+const waitCost = 2.2
+
+// worth reports whether the request is to be sent at a cost, rather than to
+// wait for a better upstream: one that answers by the time at which the answer
+// is worth most, or that is hardly slower than any.
+func (x *exchange) worth(now time.Time, cost float64) bool {
+	return cost < waitCost || !now.Add(time.Duration(cost*float64(x.work.Usual()))).After(x.due)
 }
 
 // ask asks one upstream for its load.
@@ -203,7 +241,7 @@
 	if x.conns <= 0 {
 		return defaultConns
 	}
-	all, _ := x.forwarder.options.Entries(x.service.name)
+	all := x.forwarder.options.Entries().All
 	return max(minConns, int(connShare*float64(x.conns)/float64(max(1, all))))
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,8 +36,10 @@
 	id        []byte
 	path      *router.Path
 	version   int64
-	health    string
-	conns     int
+	// work is how long the route's requests take, under the service's lock.
+	work   *placer.Work
+	health string
+	conns  int
 	// start is the arrival; due is when the answer is worth most, deadline
 	// when the caller, or the route's timeout, gives up.
 	start, due, deadline time.Time
@@ -44,6 +47,8 @@
 	turn chan struct{}
 	// attempts are the upstreams that the request was sent to.
 	attempts []*placer.Upstream
+	// unreached are those that there was no connection to.
+	unreached []*placer.Upstream
 	// maybeRun says that some upstream may have run the request.
 	maybeRun bool
 	// fallback is an upstream's failure, given if nothing better comes.
@@ -69,14 +74,10 @@
 	}
 }
 
-// tried reports whether the request was sent to the upstream.
+// tried reports whether the request was sent to the upstream, or could not
+// be.
 func (x *exchange) tried(u *placer.Upstream) bool {
-	for _, a := range x.attempts {
-		if a == u {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(x.attempts, u) || slices.Contains(x.unreached, u)
 }
 
 // verdict is how a request ended.
@@ -157,14 +158,14 @@
 // needs returns how long the request takes once sent, at the least that is
 // worth sending it for.
 func (x *exchange) needs() time.Duration {
-	return time.Duration(needShare * float64(x.service.fleet.Usual()))
+	return time.Duration(needShare * float64(x.work.Usual()))
 }
 
 // needShare is the part of the usual time below which an answer is unlikely.
-const needShare = 0.6
+const needShare = 0.8
 
 func (x *exchange) lineUp() limiter.Place {
-	return limiter.Place{Rank: x.path.Rank, Due: x.due, Deadline: x.deadline, Needs: x.service.fleet.Usual()}
+	return limiter.Place{Rank: x.path.Rank, Due: x.due, Deadline: x.deadline, Needs: x.work.Usual()}
 }
 
 // place finds an upstream with a slot, waiting in the line if there is none.
@@ -185,7 +186,7 @@
 		if ahead == 0 || holds {
 			a := x.choose()
 			x.yield(&holds)
-			if a.upstream != nil {
+			if a.attempt != nil {
 				return a, nil
 			}
 		}
@@ -227,7 +228,6 @@
 		s.mu.Unlock()
 		return errFull
 	}
-	last := x.deadline.Add(-x.needs())
 	s.line.Push(x, p)
 	s.arm()
 	s.mu.Unlock()
@@ -241,7 +241,7 @@
 			return nil
 		case now := <-timer.C:
 			timer.Reset(lookEvery)
-			if now.After(last) {
+			if x.hopeless(now) {
 				err = errFull
 			} else if edge.Probe(x.ctx.Conn()) == edge.Closed {
 				err = errGone
@@ -253,6 +253,15 @@
 	}
 }
 
+// hopeless reports whether a request that waits can't be answered in time any
+// more, by those that go before it.
+func (x *exchange) hopeless(now time.Time) bool {
+	s := x.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Add(s.wait(now, s.line.Ahead(now, x.lineUp())) + x.needs()).After(x.deadline)
+}
+
 // withdraw takes the request out of the line. It reports false if it has its
 // turn already.
 func (x *exchange) withdraw(wait time.Duration) bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,6 +23,14 @@
 	Window           time.Duration
 }
 
+// Entries is how many entries there are, each number at least 1.
+type Entries struct {
+	All int
+	// Carriers is how many carry a service, and Near how many of them are in
+	// the failure domain of this one.
+	Carriers, Near int
+}
+
 // Options set a Forwarder.
 type Options struct {
 	// Dialect must be set.
@@ -36,9 +44,8 @@
 	Probes float64
 	// Body bounds an answer's body in bytes, 0 meaning 16 MiB.
 	Body int
-	// Entries returns how many entries there are, and how many of them carry
-	// a service. Nil means one.
-	Entries func(service string) (all, carriers int)
+	// Entries returns how many entries there are. Nil means one.
+	Entries func() Entries
 	// Refresh makes sure that the configuration is the newest, as far as that
 	// can be done in a moment; nil for nothing. It is called when a request
 	// has no route.
@@ -84,7 +91,7 @@
 		o.Probes = defaultProbes
 	}
 	if o.Entries == nil {
-		o.Entries = func(string) (int, int) { return 1, 1 }
+		o.Entries = func() Entries { return Entries{All: 1, Carriers: 1, Near: 1} }
 	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
@@ -139,7 +146,7 @@
 	defer f.mu.Unlock()
 	s := f.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, works: make(map[string]*placer.Work)}
 		s.fleet.Domain = f.options.Domain
 		f.services[name] = s
 	}
@@ -197,7 +204,7 @@
 	if v := t.Service(name); v != nil {
 		x.health, x.conns = v.Health, v.Conns
 	}
-	x.service.configure(f.options, now)
+	x.work = x.service.configure(f.options, x.path.Name, now)
 	return x, nil
 }
 
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -53,15 +53,15 @@
 // send sends the request to the upstream that was taken, on the connection
 // that it answered on.
 func (x *exchange) send(a asked) outcome {
-	x.attempts = append(x.attempts, a.upstream)
-	begun := time.Now()
 	o := outcome{}
 	if a.conn == nil {
+		x.unreached = append(x.unreached, a.upstream)
 		o.err = errLost
 	} else {
+		x.attempts = append(x.attempts, a.upstream)
 		x.converse(a.conn, a.upstream, &o)
 	}
-	x.service.finish(a.upstream, o.result(), time.Since(begun))
+	x.service.finish(a.attempt, o.result(), x.work)
 	return o
 }
 
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -16,6 +16,8 @@
 	fleet  placer.Fleet
 	ration limiter.Ration
 	line   limiter.Line[*exchange]
+	// works holds how long the requests of each route take here.
+	works map[string]*placer.Work
 	// turns counts requests of the line that are being placed.
 	turns int
 	// armed says that a timer will call pump.
@@ -30,6 +32,9 @@
 	// lineEvery is how often the first of the line looks for a slot that other
 	// entries may have freed.
 	lineEvery = 12 * time.Millisecond
+	// nearProbes is the part of an upstream's budget of questions that is for
+	// the entries of its failure domain, which send it most.
+	nearProbes = 0.75
 	// rationShare is the part of the retry budget that entries spend: they
 	// count in steps, and may differ in how many they think they are.
 	rationShare = 0.8
@@ -38,21 +43,35 @@
 	allowanceShare = 0.4
 )
 
+// work returns how long the requests of a route take here. The lock must be
+// held.
+func (s *service) work(route string) *placer.Work {
+	w := s.works[route]
+	if w == nil {
+		w = &placer.Work{}
+		s.works[route] = w
+	}
+	return w
+}
+
 func (s *service) remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet.Remove(id)
 }
 
-// configure takes in a request and sets what depends on the entries.
-func (s *service) configure(o Options, now time.Time) {
-	all, carriers := o.Entries(s.name)
+// configure takes in a request of a route and sets what depends on the entries.
+// It returns how long the route's requests take.
+func (s *service) configure(o Options, route string, now time.Time) *placer.Work {
+	e := o.Entries()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.carriers = max(1, carriers)
-	s.fleet.Probes = o.Probes / float64(s.carriers)
-	s.ration.Set(rationShare*o.Retries.Share, allowanceShare*o.Retries.Allowance/float64(max(1, all)), o.Retries.Window)
+	s.carriers = max(1, e.Carriers)
+	s.fleet.Probes[placer.Near] = nearProbes * o.Probes / float64(max(1, e.Near))
+	s.fleet.Probes[placer.Far] = (1 - nearProbes) * o.Probes / float64(max(1, e.Carriers-e.Near))
+	s.ration.Set(rationShare*o.Retries.Share, allowanceShare*o.Retries.Allowance/float64(max(1, e.All)), o.Retries.Window)
 	s.ration.Count(now)
+	return s.work(route)
 }
 
 // pump gives requests of the line their turn. The lock must be held.
@@ -83,11 +102,11 @@
 }
 
 // finish ends a request at an upstream.
-func (s *service) finish(u *placer.Upstream, r placer.Result, took time.Duration) {
+func (s *service) finish(a *placer.Attempt, r placer.Result, work *placer.Work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.fleet.Finish(now, u, r, took)
+	s.fleet.Finish(now, a, r, work)
 	s.pump(now)
 }
 
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -19,16 +19,42 @@
 	Dropped // dropped
 )
 
+// Work is how long the requests of one kind take at an upstream that works at
+// its usual pace. Its zero value is unknown.
+type Work struct{ usual time.Duration }
+
+// Usual returns the average, 0 before any answer.
+func (w *Work) Usual() time.Duration { return w.usual }
+
+// Attempt is one request at one upstream.
+type Attempt struct {
+	upstream *Upstream
+	begun    time.Time
+	// slowness and above are what the upstream was like at the start: they
+	// decide how long the whole request takes.
+	slowness float64
+	above    bool
+}
+
+// Upstream returns where the request is.
+func (a *Attempt) Upstream() *Upstream { return a.upstream }
+
 // Start counts a request that is sent to the upstream.
-func (f *Fleet) Start(u *Upstream) { u.own++ }
+func (f *Fleet) Start(now time.Time, u *Upstream) *Attempt {
+	a := &Attempt{upstream: u, begun: now, slowness: u.slowness(now), above: u.above(now)}
+	u.own++
+	return a
+}
 
-// Finish counts a request that ended after took.
-func (f *Fleet) Finish(now time.Time, u *Upstream, r Result, took time.Duration) {
+// Finish counts a request that ended. Work is that of its kind, and learns
+// from it.
+func (f *Fleet) Finish(now time.Time, a *Attempt, r Result, work *Work) {
+	u := a.upstream
 	u.own--
 	switch r {
 	case Answered:
 		u.failures, u.ejections = 0, 0
-		f.learn(took)
+		f.learn(a, now.Sub(a.begun), work)
 	case Failed:
 		u.failures++
 		f.eject(now, u)
@@ -38,15 +64,36 @@
 	}
 }
 
-// learnShare is the weight of one answer in the average time.
-const learnShare = 1.0 / 16
+const (
+	// learnShare is the weight of one answer in averages.
+	learnShare = 1.0 / 16
+	// maxKnee bounds what is learned of the last slots.
+	maxKnee = 3
+)
 
-func (f *Fleet) learn(took time.Duration) {
-	if f.usual == 0 {
-		f.usual = took
+// learn takes in how long an answered request took.
+func (f *Fleet) learn(a *Attempt, took time.Duration, work *Work) {
+	f.usual = average(f.usual, took)
+	paced := time.Duration(float64(took) / max(a.slowness, 1))
+	if !a.above {
+		work.usual = average(work.usual, paced)
+		return
+	}
+	if work.usual == 0 {
 		return
 	}
-	f.usual += time.Duration(learnShare * float64(took-f.usual))
+	ratio := min(max(float64(paced)/float64(work.usual), 0), maxKnee)
+	if f.knee == 0 {
+		f.knee = 1
+	}
+	f.knee += learnShare * (ratio - f.knee)
+}
+
+func average(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(learnShare*float64(sample-old))
 }
 
 // Silent counts a question for an upstream's load that had no answer.
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -12,8 +12,8 @@
 	// Domain is the failure domain of the entry; upstreams there are nearer.
 	Domain string
 	// Probes is how often this entry may ask one upstream for its load, a
-	// second, 0 meaning without bound.
-	Probes float64
+	// second, by scope, 0 meaning without bound.
+	Probes [Scopes]float64
 	// Rand breaks ties, nil meaning the shared source.
 	Rand *rand.Rand
 
@@ -21,6 +21,9 @@
 	list []*Upstream
 	// usual is the average time from a send to its answer.
 	usual time.Duration
+	// knee is how many times as long a request takes that is sent to an
+	// upstream whose slots are nearly all taken, 0 before any was.
+	knee float64
 }
 
 // List returns the upstreams. The list must not be changed.
@@ -70,19 +73,28 @@
 	return n
 }
 
-// Free reports whether some usable upstream has a free slot by what is known.
-func (f *Fleet) Free(now time.Time) bool {
-	for _, u := range f.list {
-		if u.Usable(now) && u.busy(now) < float64(u.Slots()) {
-			return true
-		}
+// kneeShare is the part of the slots in use above which a request that is sent
+// may take longer.
+const kneeShare = 0.8
+
+// above reports whether one more request would take one of the last slots.
+func (u *Upstream) above(now time.Time) bool { return u.busy(now)+1 > kneeShare*float64(u.Slots()) }
+
+// Cost estimates how long one more request takes at the upstream, in units of
+// its work: how slow the upstream is at the moment, which holds for the whole
+// request, more if it gets one of the last slots, and the wait for one.
+func (f *Fleet) Cost(now time.Time, u *Upstream) float64 {
+	pace := u.slowness(now)
+	if u.above(now) && f.knee > 1 {
+		pace *= f.knee
 	}
-	return false
+	slots := float64(u.Slots())
+	return pace * (1 + max(0, u.busy(now)+1-slots)/slots)
 }
 
 // awayCost is what it costs to leave the failure domain, in units of a
 // request's usual work: crossing it is slower and is paid by the byte.
-const awayCost = 0.8
+const awayCost = 0.35
 
 // candidate is an upstream with the cost of sending to it.
 type candidate struct {
@@ -97,7 +109,7 @@
 		if !u.Usable(now) || skip != nil && skip(u) {
 			continue
 		}
-		c := u.cost(now) + 0.1*f.float() + 0.5*float64(u.silent)
+		c := f.Cost(now, u) + 0.1*f.float() + 0.5*float64(u.silent)
 		if u.spec.Domain != f.Domain {
 			c += awayCost
 		}
@@ -131,6 +143,8 @@
 	Near Scope = iota
 	// Far means the others.
 	Far
+	// Scopes is how many there are.
+	Scopes
 )
 
 // Ask appends to dst the upstreams of the scope whose load is to be asked for
@@ -142,29 +156,53 @@
 			break
 		}
 		near := c.upstream.spec.Domain == f.Domain
-		if near == (scope == Near) && c.upstream.pay(now, f.Probes) {
+		if near == (scope == Near) && c.upstream.pay(now, f.Probes[scope]) {
 			dst = append(dst, c.upstream)
 		}
 	}
 	return dst
 }
 
+// freshFor is the age up to which a report is as good as a question: it is a
+// small part of the time for which an upstream stays slow or a slot taken.
+const freshFor = 0 * time.Millisecond
+
+// Fresh returns an upstream that told of its load just now and can hardly be
+// bettered, nil if there is none. When all slots are taken, the answer that
+// frees one says so, and the next request takes it without a question.
+func (f *Fleet) Fresh(now time.Time, skip func(*Upstream) bool) *Upstream {
+	var list []*Upstream
+	for _, u := range f.list {
+		if !u.report.At.IsZero() && now.Sub(u.report.At) <= freshFor && (skip == nil || !skip(u)) {
+			list = append(list, u)
+		}
+	}
+	if best := f.Best(now, list); best != nil && best.spec.Domain == f.Domain && f.Ideal(now, best) {
+		return best
+	}
+	return nil
+}
+
 // Ideal reports whether an upstream that was just heard of can hardly be
 // bettered by others of its scope: it works at its usual pace, and has slots
 // to spare.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.Usable(now) && u.slowness(now) <= idealSlowness && u.busy(now)+1 <= kneeShare*float64(u.Slots())
+	return u.Usable(now) && u.slowness(now) <= idealSlowness && !u.above(now)
 }
 
 // Enough reports whether no upstream of another failure domain can be better
 // than u, which was just heard of, by more than it costs to go there.
 func (f *Fleet) Enough(now time.Time, u *Upstream) bool {
-	return u != nil && u.cost(now) <= 1+awayCost
+	return u != nil && f.Cost(now, u) <= 1+awayCost
 }
 
 // idealSlowness is the pace that counts as usual.
 const idealSlowness = 1.1
 
+// busyMargin is how far the estimate of what an upstream runs may be above
+// its room: what is left of a report that fades is no whole request.
+const busyMargin = 0.5
+
 // Best returns the upstream among those asked that a request is best sent to,
 // nil if none has a free slot. The first request of several at once takes the
 // slot: the count of the entry's own is part of the estimate.
@@ -172,10 +210,10 @@
 	var best *Upstream
 	lowest := 0.0
 	for _, u := range asked {
-		if !u.Usable(now) || u.busy(now) >= float64(u.Slots()) {
+		if !u.Usable(now) || u.busy(now)+1 > float64(u.Slots())+busyMargin {
 			continue
 		}
-		c := u.cost(now)
+		c := f.Cost(now, u)
 		if u.spec.Domain != f.Domain {
 			c += awayCost
 		}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -16,6 +16,9 @@
 	t     *testing.T
 	fleet Fleet
 	now   time.Time
+	work  Work
+	// running holds the attempts of each upstream, the first started first.
+	running map[string][]*Attempt
 }
 
 func (p *player) number(text string) float64 {
@@ -26,6 +29,13 @@
 	return n
 }
 
+func known(u *Upstream) []*Upstream {
+	if u == nil {
+		return nil
+	}
+	return []*Upstream{u}
+}
+
 func names(list []*Upstream) string {
 	var out []string
 	for _, u := range list {
@@ -69,14 +79,21 @@
 			return best.ID() + " not enough"
 		}
 		return best.ID()
+	case "fresh":
+		return names(known(f.Fresh(p.now, nil)))
 	case "start":
-		f.Start(u)
+		p.running[args[1]] = append(p.running[args[1]], f.Start(p.now, u))
 	case "finish": // finish id result
 		for r := Answered; r <= Dropped; r++ {
 			if r.String() == args[2] {
-				f.Finish(p.now, u, r, 100*time.Millisecond)
+				f.Finish(p.now, p.running[args[1]][0], r, &p.work)
 			}
 		}
+		p.running[args[1]] = p.running[args[1]][1:]
+	case "cost":
+		return fmt.Sprintf("%.1f", f.Cost(p.now, u))
+	case "work":
+		return p.work.Usual().String()
 	case "silent":
 		f.Silent(p.now, u)
 	case "usable":
@@ -90,7 +107,7 @@
 	case "slots":
 		return fmt.Sprint(f.Slots(p.now))
 	case "probes":
-		f.Probes = p.number(args[1])
+		f.Probes = [Scopes]float64{p.number(args[1]), p.number(args[1])}
 	default:
 		return "unknown command"
 	}
@@ -100,7 +117,7 @@
 // TestFleet runs the scripts of load patterns.
 func TestFleet(t *testing.T) {
 	scripter.Run(t, "testdata/*.txt", func(t *testing.T) func([]string) string {
-		p := &player{t: t, now: time.Unix(1000, 0)}
+		p := &player{t: t, now: time.Unix(1000, 0), running: make(map[string][]*Attempt)}
 		p.fleet.Domain = "a"
 		p.fleet.Rand = rand.New(rand.NewPCG(1, 1))
 		return p.do
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -117,27 +117,8 @@
 	return s
 }
 
-const (
-	// coldFactor is how many times as long work takes after a start.
-	coldFactor = 2
-	// kneeShare is the part of the slots in use above which each of them gets
-	// slower, by kneeFactor.
-	kneeShare  = 0.8
-	kneeFactor = 1.7
-)
-
-// cost estimates how long one more request takes, in units of its usual work:
-// the time in a slot, and the wait for one.
-func (u *Upstream) cost(now time.Time) float64 {
-	slots := float64(u.Slots())
-	after := u.busy(now) + 1
-	pace := u.slowness(now)
-	if after > kneeShare*slots {
-		pace *= kneeFactor
-	}
-	wait := max(0, after-slots) / slots
-	return pace * (1 + wait)
-}
+// coldFactor is how many times as long work takes after a start.
+const coldFactor = 2
 
 // maxCredit is how many questions may be asked at once, so that a burst is
 // answered well; the average stays within the budget.
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -179,16 +179,18 @@
 }
 
 // entries returns how many entries there are and how many carry a service.
-func (g *Gateway) entries(string) (all, carriers int) {
+func (g *Gateway) entries() forwarder.Entries {
 	domains := make(map[string]int)
 	list := g.live()
 	for _, m := range list {
 		domains[m.Domain]++
 	}
+	e := forwarder.Entries{All: max(1, len(list)), Near: max(1, min(domains[g.process.Domain()], perDomain))}
 	for _, n := range domains {
-		carriers += min(n, perDomain)
+		e.Carriers += min(n, perDomain)
 	}
-	return max(1, len(list)), max(1, carriers)
+	e.Carriers = max(1, e.Carriers)
+	return e
 }
 
 // refresh reads the configuration if what is known of it is not of this
