tracker: stale first lists, a time to settle, and a watcher that lost the store is passed over

First lists may be seconds old, since news follows on them, and an entry waits two seconds before it takes itself for the one that watches. When the watching entry loses the store it says so, and the next one takes over, so that not all read.

--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -227,15 +227,28 @@
 		g.leave(live)
 	case <-live.Done():
 	}
-	for _, s := range servers {
-		_ = s.Shutdown()
-	}
+	g.close(servers)
 	stop()
 	err := group.Wait()
 	g.log.Info("entry stopped")
 	return errors.Trace(err)
 }
 
+// closeWait bounds the end of the listeners: a connection that is still in use
+// then is cut by the end of the process.
+const closeWait = 300 * time.Millisecond
+
+// close ends the listeners.
+func (g *Gateway) close(servers []*fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.ShutdownWithContext(ctx); err != nil {
+			g.log.Warn("listener not closed in order", "error", err.Error())
+		}
+	}
+}
+
 // leaveMargin is what a planned stop leaves of its time, so that the process
 // ends by itself.
 const leaveMargin = 700 * time.Millisecond
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +27,9 @@
 
 // Source reads the store.
 type Source interface {
-	// List reads all objects of a kind. It returns ErrUnavailable.
-	List(ctx context.Context, k Kind) (Delta, error)
+	// List reads all objects of a kind. A stale list may be seconds old and
+	// costs less. It returns ErrUnavailable.
+	List(ctx context.Context, k Kind, stale bool) (Delta, error)
 	// Watch waits at most wait for a change behind a revision. It returns
 	// ErrForgotten or ErrUnavailable.
 	Watch(ctx context.Context, k Kind, after uint64, wait time.Duration) (Delta, error)
@@ -81,12 +85,19 @@
 	reachable [Kinds]atomic.Bool
 	// told wakes the goroutine that passes news on.
 	told chan struct{}
+	// start is when the process began.
+	start time.Time
+
+	mu sync.Mutex
+	// blind holds entries that watched and lost the store, and until when they
+	// are passed over.
+	blind map[string]time.Time
 }
 
 // New returns a tracker of the source for the entry named self; live returns
 // the live entries in order of name, this one among them.
 func New(s *State, source Source, peers Peers, self string, live func() []announcer.Member, log *slog.Logger) *Tracker {
-	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, told: make(chan struct{}, 1)}
+	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, told: make(chan struct{}, 1), start: time.Now(), blind: make(map[string]time.Time)}
 }
 
 // Reads returns how many calls were made to the store and how many failed.
@@ -96,21 +107,27 @@
 func (t *Tracker) Follow(ctx context.Context, k Kind) error {
 	for ctx.Err() == nil {
 		m := t.state.Mark(time.Now(), k)
-		watch := MakePlan(t.self, t.live()).Watch
+		settled := time.Since(t.start) > settleTime
+		watch := settled && t.plan().Watch
 		var err error
 		switch {
 		case m.AsOf == 0:
-			err = t.list(ctx, k)
+			// A list that is seconds old will do: news follows on it.
+			err = t.list(ctx, k, true)
 		case watch:
 			err = t.watch(ctx, k, m.AsOf, untilBeat(time.Now()))
-		case m.Age > staleAge:
+		case m.Age > staleAge && settled:
 			err = t.watch(ctx, k, m.AsOf, time.Millisecond)
 		default:
-			sleeper.Sleep(ctx, min(checkEvery, staleAge-m.Age+time.Millisecond))
+			sleeper.Sleep(ctx, min(checkEvery, max(staleAge-m.Age, 0)+time.Millisecond))
 			continue
 		}
 		t.note(k, err)
 		if err != nil {
+			if watch {
+				t.hide(map[string]time.Duration{t.self: blindTime})
+				t.wake()
+			}
 			t.ask(ctx, k)
 			sleeper.Sleep(ctx, backOff+rand.N(backOff))
 		}
@@ -118,6 +135,59 @@
 	return nil
 }
 
+const (
+	// settleTime is how long an entry that has just started waits for the
+	// membership before it takes itself for the one that watches, or reads by
+	// itself: all entries may have started just now.
+	settleTime = 2 * time.Second
+	// blindTime is how long an entry that lost the store does not watch it.
+	blindTime = 5 * time.Second
+)
+
+// plan returns this entry's part among those that can reach the store.
+func (t *Tracker) plan() Plan { return MakePlan(t.self, t.seeing(time.Now())) }
+
+// seeing returns the live entries but those that lost the store.
+func (t *Tracker) seeing(now time.Time) []announcer.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(t.live(), func(m announcer.Member) bool { return now.Before(t.blind[m.Name]) })
+}
+
+// hide takes in how much longer entries are passed over.
+func (t *Tracker) hide(blind map[string]time.Duration) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, d := range blind {
+		if until := now.Add(min(d, blindTime)); until.After(t.blind[name]) {
+			t.blind[name] = until
+		}
+	}
+}
+
+// hidden returns how much longer entries are passed over, and forgets those
+// that no longer are.
+func (t *Tracker) hidden(now time.Time) map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.blind, func(_ string, until time.Time) bool { return !now.Before(until) })
+	out := make(map[string]time.Duration, len(t.blind))
+	for name, until := range t.blind {
+		out[name] = until.Sub(now)
+	}
+	return out
+}
+
+// tellPlan returns whom to tell: an entry that lost the store just now still
+// tells those that it did, so that they look to another one.
+func (t *Tracker) tellPlan(blind map[string]time.Duration) []announcer.Member {
+	if _, ok := blind[t.self]; ok {
+		return MakePlan(t.self, t.live()).Tell
+	}
+	return t.plan().Tell
+}
+
 // untilBeat returns how long a watch that begins now waits, so that the
 // watches of all kinds end together and one message tells of them.
 func untilBeat(now time.Time) time.Duration {
@@ -156,7 +226,7 @@
 	}
 	var err error
 	if m.AsOf == 0 {
-		err = t.list(ctx, k)
+		err = t.list(ctx, k, false)
 	} else {
 		err = t.watch(ctx, k, m.AsOf, time.Millisecond)
 	}
@@ -164,12 +234,12 @@
 	return err == nil
 }
 
-func (t *Tracker) list(ctx context.Context, k Kind) error {
+func (t *Tracker) list(ctx context.Context, k Kind, stale bool) error {
 	t.reads.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	asked := time.Now()
-	d, err := t.source.List(ctx, k)
+	d, err := t.source.List(ctx, k, stale)
 	if err != nil {
 		return err
 	}
@@ -182,7 +252,7 @@
 	defer cancel()
 	d, err := t.source.Watch(limited, k, after, wait)
 	if errors.Is(err, ErrForgotten) {
-		return t.list(ctx, k)
+		return t.list(ctx, k, false)
 	}
 	if err != nil {
 		return err
@@ -228,6 +298,9 @@
 	Marks [Kinds]Mark `json:"marks"`
 	// Deltas are the last changes of each kind that has any.
 	Deltas []Delta `json:"deltas,omitempty"`
+	// Blind are entries that lost the store, and for how much longer they are
+	// passed over.
+	Blind map[string]time.Duration `json:"blind,omitempty"`
 }
 
 // Spread passes news on to the entries that this one tells, until ctx ends.
@@ -240,12 +313,12 @@
 			return nil
 		}
 		sleeper.Sleep(ctx, tellDelay)
-		tell := MakePlan(t.self, t.live()).Tell
+		now := time.Now()
+		n := News{From: t.self, Blind: t.hidden(now)}
+		tell := t.tellPlan(n.Blind)
 		if len(tell) == 0 {
 			continue
 		}
-		n := News{From: t.self}
-		now := time.Now()
 		for k := range Kinds {
 			n.Marks[k] = t.state.Mark(now, k)
 			if n.Marks[k].AsOf > sent[k] && sent[k] > 0 {
@@ -271,7 +344,8 @@
 // copy is fetched from it.
 func (t *Tracker) Hear(ctx context.Context, n News) {
 	now := time.Now()
-	fresh := false
+	t.hide(n.Blind)
+	fresh := len(n.Blind) > 0
 	for _, d := range n.Deltas {
 		if d.Kind < 0 || d.Kind >= Kinds {
 			continue
