announcer: a message owns its memory; bounded memory of an entry

Two findings, both traced. Buffers to upstreams are 4 KB, those of resting callers are given back, and the heap is bounded by a part of the process's memory.

--- a/announcer/message.go
+++ b/announcer/message.go
@@ -52,6 +52,9 @@
 // processor time than the bytes that it saves are worth.
 const smallMessage = 1200
 
+// gzipMagic begins what is compressed; JSON never begins so.
+var gzipMagic = []byte{0x1f, 0x8b}
+
 // pack encodes a message. Names that recur make up most of a large one, so
 // that it is compressed to about a third.
 func pack(message any) ([]byte, error) {
@@ -66,9 +69,11 @@
 }
 
 // unpack reverses pack up to the encoding. It reads no more than MaxMessage.
+// The result shares no memory with data, which may belong to a message that is
+// used again.
 func unpack(data []byte) ([]byte, error) {
-	if !bytes.HasPrefix(data, []byte{0x1f, 0x8b}) {
-		return data, nil
+	if !bytes.HasPrefix(data, gzipMagic) {
+		return bytes.Clone(data), nil
 	}
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,7 +61,9 @@
 const (
 	defaultBody   = 16 << 20
 	defaultProbes = 10
-	headerBuffer  = 16 << 10
+	// headerBuffer bounds the header of an upstream's answer. An entry may hold
+	// thousands of connections, each with two buffers of this size.
+	headerBuffer = 4 << 10
 	// dialWait bounds the opening of a connection. Upstreams are milliseconds
 	// away; a lost opening packet is only sent again after a second.
 	dialWait = 150 * time.Millisecond
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -141,7 +141,7 @@
 		size = defaultBuffer
 	}
 	c := &Conn{net: n, addr: addr, read: bufio.NewReaderSize(n, size)}
-	c.write = bufio.NewWriterSize(c, defaultBuffer)
+	c.write = bufio.NewWriterSize(c, min(size, defaultBuffer))
 	return c, nil
 }
 
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -201,6 +202,11 @@
 	}
 }
 
+// memoryShare is the part of the process's memory that the heap may grow to
+// before it is collected harder: beside it there are stacks, the program, and
+// what is received and not yet read.
+const memoryShare = 0.55
+
 // Run serves until ctx ends, then stops in order and returns.
 func (g *Gateway) Run(ctx context.Context) error {
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -209,7 +215,7 @@
 	servers := make([]*fasthttp.Server, 0, len(g.doors))
 	for _, d := range g.doors {
 		s := d.server(d.handle)
-		s.IdleTimeout = d.idle
+		s.IdleTimeout, s.ReduceMemoryUsage = d.idle, true
 		servers = append(servers, s)
 		group.Go(func() error { return s.Serve(d.Listener) })
 	}
@@ -221,6 +227,9 @@
 	for _, f := range duties {
 		group.Go(func() error { return f(live) })
 	}
+	if m := g.process.Gateway().Memory(); m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m<<20)))
+	}
 	g.log.Info("entry started", "callers", g.process.Callers(), "peers", g.process.Peers(), "ops", g.process.Ops())
 	select {
 	case <-ctx.Done():
