tracker, platform: copies of the store under test; a change says when it happened

Finding of the property test: a delta that overlaps with what a copy has could bring back an upstream that had been removed since, for removals leave no trace. Changes now carry the revision by which they happened, and an overlapping delta of the store itself is not taken.

--- a/tracker/state.go
+++ b/tracker/state.go
@@ -34,6 +34,10 @@
 	// Revision is that of the object's last change, 0 for removals.
 	Revision uint64 `json:"rev"`
 	Gone     bool   `json:"gone,omitempty"`
+	// At is the revision of the store by which the change is known to have
+	// happened, 0 if it came from the store itself: it then happened within the
+	// span of its delta.
+	At uint64 `json:"at,omitempty"`
 	// Config and Upstream are what the object says, nil if it can't be read.
 	Config   *router.Spec `json:"config,omitempty"`
 	Upstream *placer.Spec `json:"upstream,omitempty"`
@@ -93,14 +97,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &s.kinds[d.Kind]
-	if !d.Whole && (d.After > r.asOf || r.items == nil) {
+	if !r.follows(d) {
 		return nil, errors.Trace(ErrGap)
 	}
 	if d.AsOf < r.asOf {
 		return nil, nil
 	}
-	news := r.news(d)
+	var news []Change
 	if d.AsOf > r.asOf || r.items == nil {
+		news = r.news(d)
 		r.take(d, news)
 	}
 	if fresh.After(r.fresh) {
@@ -113,21 +118,40 @@
 	return news, nil
 }
 
+// follows reports whether the delta can be taken in. One that begins earlier
+// than the copy ends holds changes that the copy has, and what undid them may
+// have left no trace there: its changes must say when they happened.
+func (r *replica) follows(d Delta) bool {
+	if d.Whole {
+		return true
+	}
+	if r.items == nil || d.After > r.asOf {
+		return false
+	}
+	return d.After == r.asOf || !slices.ContainsFunc(d.Changes, func(c Change) bool { return c.At == 0 })
+}
+
 // news returns the changes of the delta that the copy does not have.
 func (r *replica) news(d Delta) []Change {
 	var out []Change
 	seen := make(map[string]bool, len(d.Changes))
 	for _, c := range d.Changes {
 		seen[c.Name] = true
+		if !d.Whole && c.At > 0 && c.At <= r.asOf {
+			continue
+		}
+		if c.At == 0 {
+			c.At = d.AsOf
+		}
 		old, known := r.items[c.Name]
-		if c.Gone && known || !c.Gone && (!known || c.Revision > old.Revision) {
+		if !d.Whole || !known || c.Revision != old.Revision {
 			out = append(out, c)
 		}
 	}
 	if d.Whole {
 		for _, name := range slices.Sorted(maps.Keys(r.items)) {
 			if !seen[name] {
-				out = append(out, Change{Name: name, Gone: true})
+				out = append(out, Change{Name: name, Gone: true, At: d.AsOf})
 			}
 		}
 	}
@@ -170,7 +194,11 @@
 	}
 	if i < len(r.log) && r.log[i].After <= after && after > 0 {
 		for _, l := range r.log[i:] {
-			d.Changes = append(d.Changes, l.Changes...)
+			for _, c := range l.Changes {
+				if c.At > after {
+					d.Changes = append(d.Changes, c)
+				}
+			}
 		}
 		return d
 	}
--- /dev/null
+++ b/tracker/state_test.go
@@ -0,0 +1,131 @@
+package tracker
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"poplarwind/announcer"
+	"poplarwind/internal/scripter"
+	_ "poplarwind/internal/seeder"
+	"poplarwind/placer"
+)
+
+// TestCopiesConverge lets a copy take deltas of another in any order, with
+// gaps, repeats and whole copies of old states among them: it never goes back,
+// and once it has the last state it equals it.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var origin, follower State
+		if _, err := origin.Apply(now, Delta{Kind: Upstreams, Whole: true, AsOf: 1}); err != nil {
+			t.Fatal(err)
+		}
+		old := []Delta{origin.Since(Upstreams, 0)}
+		revision := uint64(1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "name"))
+			after := revision
+			revision += uint64(rapid.IntRange(1, 3).Draw(t, "gap"))
+			c := Change{Name: name, Revision: revision, Upstream: &placer.Spec{ID: name, Slots: int(revision)}}
+			c.Gone = rapid.Bool().Draw(t, "gone")
+			if _, err := origin.Apply(now, Delta{Kind: Upstreams, After: after, AsOf: revision, Changes: []Change{c}}); err != nil {
+				t.Fatal(err)
+			}
+			old = append(old, origin.Since(Upstreams, uint64(rapid.IntRange(0, int(revision)).Draw(t, "since"))))
+			if rapid.Bool().Draw(t, "deliver") {
+				d := old[rapid.IntRange(0, len(old)-1).Draw(t, "which")]
+				before := follower.Mark(now, Upstreams).AsOf
+				_, err := follower.Apply(now, d)
+				if err != nil && !errors.Is(err, ErrGap) {
+					t.Fatal(err)
+				}
+				if got := follower.Mark(now, Upstreams).AsOf; got < before {
+					t.Fatalf("got: as of %d want: at least %d", got, before)
+				}
+			}
+		}
+		if _, err := follower.Apply(now, origin.Since(Upstreams, follower.Mark(now, Upstreams).AsOf)); err != nil {
+			t.Fatal(err)
+		}
+		got, want := follower.All(Upstreams), origin.All(Upstreams)
+		if len(got) != len(want) {
+			t.Fatalf("got: %v want: %v", got, want)
+		}
+		for i := range got {
+			if got[i].Name != want[i].Name || got[i].Revision != want[i].Revision {
+				t.Fatalf("got: %v want: %v", got, want)
+			}
+		}
+	})
+}
+
+// TestPlan runs scripts of who watches and who tells whom.
+func TestPlan(t *testing.T) {
+	scripter.Run(t, "testdata/plan*.txt", func(*testing.T) func([]string) string {
+		var live []announcer.Member
+		return func(args []string) string {
+			switch args[0] {
+			case "live": // live name/domain...
+				live = nil
+				for _, a := range args[1:] {
+					name, domain, _ := strings.Cut(a, "/")
+					live = append(live, announcer.Member{Name: name, Domain: domain})
+				}
+				return ""
+			case "plan":
+				p := MakePlan(args[1], live)
+				out := []string{"tells"}
+				if p.Watch {
+					out = []string{"watches", "tells"}
+				}
+				for _, m := range p.Tell {
+					out = append(out, m.Name)
+				}
+				return strings.Join(out, " ")
+			}
+			return "unknown command"
+		}
+	})
+}
+
+// TestLapse runs scripts of upstreams that vanish. Times are in milliseconds.
+func TestLapse(t *testing.T) {
+	scripter.Run(t, "testdata/lapse*.txt", func(*testing.T) func([]string) string {
+		l := Lapse{Hold: 1500 * time.Millisecond}
+		now := time.Unix(1000, 0)
+		return func(args []string) string {
+			switch args[0] {
+			case "pass":
+				d, err := time.ParseDuration(args[1])
+				if err != nil {
+					return err.Error()
+				}
+				now = now.Add(d)
+				return ""
+			case "named": // named ids..., with ! behind those that leave
+				named := make(map[string]placer.Spec)
+				for _, a := range args[1:] {
+					id := strings.TrimSuffix(a, "!")
+					named[id] = placer.Spec{ID: id, Service: id[:1], Leaving: id != a}
+				}
+				use, next := l.Step(now, named)
+				var out []string
+				for _, id := range []string{"a1", "a2", "a3", "a4", "b1", "b2"} {
+					if _, ok := use[id]; ok {
+						out = append(out, id)
+					}
+				}
+				if !next.IsZero() {
+					out = append(out, "until", next.Sub(now).String())
+				}
+				return strings.Join(out, " ")
+			}
+			return "unknown command"
+		}
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -257,7 +257,11 @@
 	if err != nil {
 		return err
 	}
-	return t.apply(time.Now(), d, "store")
+	if err := t.apply(time.Now(), d, "store"); !errors.Is(err, ErrGap) {
+		return err
+	}
+	// Other entries told more in the meantime.
+	return nil
 }
 
 // apply takes in a delta and has it passed on.
