--- a/cmd/poplarctl/main.go
+++ b/cmd/poplarctl/main.go
@@ -66,6 +66,7 @@
 	{"history", "PATH", "list the versions of a path", (*tool).history, nil},
 	{"status", "", "show entries, services and settings in force", (*tool).status, nil},
 	{"claim", "PATH KEY", "tell whether the call with an idempotency key ran", (*tool).claim, nil},
+	{"why", "ID", "print the lines of a log on standard input that led to a request's end", (*tool).why, nil},
 	{"dump", "ENTRY", "print the whole state of one entry, by name or operators' address", (*tool).dump, nil},
 }
 
@@ -132,7 +133,7 @@
 	if err := f.Parse(args); err != nil {
 		return exitUsage
 	}
-	if c.name != "check" && t.platform == "" && t.entries == "" {
+	if !c.offline() && t.platform == "" && t.entries == "" {
 		fmt.Fprintln(errw, "poplarctl: -platform is missing")
 		return exitUsage
 	}
@@ -146,6 +147,9 @@
 	return code(err)
 }
 
+// offline reports whether the command needs neither the platform nor entries.
+func (c command) offline() bool { return c.name == "check" || c.name == "why" }
+
 // Errors that only the tool knows.
 const (
 	errUsage = errors.ConstError("wrong arguments")
--- a/cmd/poplarwind/main.go
+++ b/cmd/poplarwind/main.go
@@ -33,6 +33,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// From here on SIGHUP does not end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path := flag.String("settings", platform.SettingsPath(), "`file` with the settings of this process, JSON with comments")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
@@ -69,7 +72,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go reload(ctx, log, *path)
+	go reload(ctx, log, *path, hup)
 	if err := r.Run(ctx); err != nil {
 		log.Error("entry failed", "error", err.Error())
 		return exitFailed
@@ -92,10 +95,7 @@
 // reload reads the settings again on each SIGHUP and says whether they are
 // sound and still those in force. Addresses, limits and budgets are those of
 // the start: a process takes new ones by being replaced.
-func reload(ctx context.Context, log *slog.Logger, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func reload(ctx context.Context, log *slog.Logger, path string, hup <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/reporter/recorder_test.go
@@ -0,0 +1,39 @@
+package reporter
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"poplarwind/forwarder"
+)
+
+// TestBudget records a flood: failures have their lines first, lines stay in
+// their budget, and those without one are counted.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		r := NewRecorder(slog.New(slog.NewJSONHandler(&out, nil)))
+		for range 10 {
+			for i := range 500 {
+				r.Record(&forwarder.Record{ID: fmt.Sprint(i), Status: 200})
+			}
+			r.Record(&forwarder.Record{ID: "refused", Status: 503, Cause: "no upstream has a slot in time"})
+			time.Sleep(time.Second)
+		}
+		text := out.String()
+		if got := strings.Count(text, "request not served"); got != 10 {
+			t.Errorf("refusals: got: %d lines want: 10", got)
+		}
+		if got := strings.Count(text, "request served"); got < 5 || got > 11 {
+			t.Errorf("served: got: %d lines want: about one a second", got)
+		}
+		if !strings.Contains(text, `"skipped":`) {
+			t.Error("got: no count of skipped ones want: one")
+		}
+	})
+}
