runner, placer: a leaving entry takes in no more while there is time to answer; a refusal with free slots is not a full upstream

Callers keep an address for up to three times its time. After 0.55 of a planned stop the entry takes no new connections and tells requests on kept ones that they have not run; what is in flight has the rest. A refusal by an upstream that told of free slots within the last 100 ms is no sign that it is full. Entries spend 0.95 of the share of retries that grows with their own requests, which can't be overspent together.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -17,6 +17,7 @@
 // Errors that end a request without an upstream's answer.
 const (
 	errLengths  = errors.ConstError("Content-Length and Transfer-Encoding conflict")
+	errLeaving  = errors.ConstError("entry is leaving")
 	errNoConfig = errors.ConstError("no configuration is known yet")
 	errNoRoute  = errors.ConstError("no route matches")
 	errLarge    = errors.ConstError("body is larger than the configuration allows")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -78,6 +78,8 @@
 	running atomic.Int64
 	// leaving makes answers ask callers to go elsewhere.
 	leaving atomic.Bool
+	// closed refuses requests that come from now on.
+	closed atomic.Bool
 
 	mu sync.Mutex
 	// services holds those that have upstreams or are in the configuration.
@@ -113,6 +115,10 @@
 // Leave makes answers ask callers to open their next connection elsewhere.
 func (f *Forwarder) Leave() { f.leaving.Store(true) }
 
+// Close refuses requests that come from now on: they are told that they have
+// not run, and to come back at another entry at once.
+func (f *Forwarder) Close() { f.closed.Store(true) }
+
 // Pool returns the connections to upstreams.
 func (f *Forwarder) Pool() *pooler.Pool { return f.pool }
 
@@ -176,6 +182,9 @@
 // admit finds the route of a request and how long it has.
 func (f *Forwarder) admit(ctx *fasthttp.RequestCtx, now time.Time) (*exchange, error) {
 	x := &exchange{forwarder: f, ctx: ctx, start: now, id: f.options.Dialect.ID(&ctx.Request.Header), turn: make(chan struct{}, 1)}
+	if f.closed.Load() {
+		return x, errLeaving
+	}
 	if lengthsConflict(ctx.Request.Header.RawHeaders()) {
 		ctx.SetConnectionClose()
 		return x, errLengths
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -35,11 +35,13 @@
 	// nearProbes is the part of an upstream's budget of questions that is for
 	// the entries of its failure domain, which send it most.
 	nearProbes = 0.75
-	// rationShare is the part of the retry budget that entries spend: they
-	// count in steps, and may differ in how many they think they are.
-	rationShare = 0.8
-	// allowanceShare is the same for the part that does not grow with load,
-	// which an entry that starts anew can spend again.
+	// rationShare is the part of the retry budget that grows with load which
+	// entries spend. Each earns it by its own requests, so that all together
+	// stay within it; they count in steps.
+	rationShare = 0.95
+	// allowanceShare is the same for the part that does not grow with load.
+	// Entries may differ in how many they think they are, and one that starts
+	// anew can spend its part again.
 	allowanceShare = 0.4
 )
 
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -59,11 +59,24 @@
 		u.failures++
 		f.eject(now, u)
 	case Refused:
-		u.report.Running = max(u.report.Running, u.Slots())
-		u.report.At, u.ownThen = now, u.own
+		f.refuse(now, u)
 	}
 }
 
+// refuse takes in that an upstream did not run a request. It is full, unless it
+// told of free slots just now: then it refuses for another reason, and the next
+// request may fare better.
+func (f *Fleet) refuse(now time.Time, u *Upstream) {
+	if now.Sub(u.report.At) < refusalFresh && u.busy(now) < float64(u.Slots()) {
+		return
+	}
+	u.report.Running = max(u.report.Running, u.Slots())
+	u.report.At, u.ownThen = now, u.own
+}
+
+// refusalFresh is the age up to which a report tells why a request was refused.
+const refusalFresh = 100 * time.Millisecond
+
 const (
 	// learnShare is the weight of one answer in averages.
 	learnShare = 1.0 / 16
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// serve answers on a listener. That a planned stop closes it is no failure.
+func (g *Gateway) serve(s *fasthttp.Server, l net.Listener) error {
+	if err := s.Serve(l); err != nil && !g.leaving.Load() {
+		return errors.Trace(err)
+	}
+	return nil
+}
+
 // memoryShare is the part of the process's memory that the heap may grow to
 // before it is collected harder: beside it there are stacks, the program, and
 // what is received and not yet read.
@@ -217,7 +225,7 @@
 		s := d.server(d.handle)
 		s.IdleTimeout, s.ReduceMemoryUsage = d.idle, true
 		servers = append(servers, s)
-		group.Go(func() error { return s.Serve(d.Listener) })
+		group.Go(func() error { return g.serve(s, d.Listener) })
 	}
 	duties := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
@@ -258,20 +266,35 @@
 	}
 }
 
-// leaveMargin is what a planned stop leaves of its time, so that the process
-// ends by itself.
-const leaveMargin = 700 * time.Millisecond
+const (
+	// leaveMargin is what a planned stop leaves of its time, so that the process
+	// ends by itself.
+	leaveMargin = 700 * time.Millisecond
+	// serveShare is the part of a planned stop for which requests are still
+	// taken in: those that come last then have the rest of it to be answered.
+	serveShare = 0.55
+)
 
-// leave takes the entry out of service: it is not ready any more and not in
-// the answers to callers, but serves those that still come until the time is
-// nearly up, or until none has come for a while.
+// leave takes the entry out of service. It is not ready any more and not in
+// the answers to callers, but serves those that still come, who may have got
+// its address some seconds ago. Then it takes in no more: new connections find
+// nobody, requests on kept ones are told to go elsewhere. What is in flight has
+// the rest of the time.
 func (g *Gateway) leave(ctx context.Context) {
 	begun := time.Now()
+	end := begun.Add(g.process.Gateway().Grace() - leaveMargin)
 	g.log.Info("entry leaving", "running", g.forwarder.Running())
 	g.leaving.Store(true)
 	g.forwarder.Leave()
 	g.announcer.Farewell(ctx)
-	sleeper.Sleep(ctx, time.Until(begun.Add(g.process.Gateway().Grace()-leaveMargin)))
+	sleeper.Sleep(ctx, time.Until(begun.Add(time.Duration(serveShare*float64(end.Sub(begun))))))
+	g.forwarder.Close()
+	if err := g.doors[0].Close(); err != nil {
+		g.log.Warn("listener not closed", "error", err.Error())
+	}
+	for time.Now().Before(end) && (g.forwarder.Running() > 0 || time.Until(end) > quietFor) {
+		sleeper.Sleep(ctx, leaveStep)
+	}
 	g.log.Info("entry left", "running", g.forwarder.Running(), "took_ms", time.Since(begun).Milliseconds())
 }
 
