placer: upstreams that fail part of their requests cost more; steps of a ration by the steady clock

An upstream that fails 40 in 100 with a good health check rarely fails three in a row, so that ejection does not see it. The ration counted its steps by the time of day, which a clock step moves.

--- a/limiter/ration.go
+++ b/limiter/ration.go
@@ -14,7 +14,10 @@
 type Ration struct {
 	share, allowance float64
 	step             time.Duration
-	// parts[i] counts the steps since the epoch that leave remainder i;
+	// epoch is the first time that was seen: steps are counted from it by the
+	// steady clock, which a change of the time of day does not move.
+	epoch time.Time
+	// parts[i] counts the steps that leave remainder i;
 	// stamps[i] is which step that was.
 	parts  [rationParts]struct{ requests, repeats int }
 	stamps [rationParts]int64
@@ -33,7 +36,12 @@
 	if r.step <= 0 {
 		return 0
 	}
-	n := now.UnixNano() / int64(r.step)
+	if r.epoch.IsZero() {
+		r.epoch = now
+	}
+	// The first step is one whole window in, so that no stamp is that of a step
+	// that was never counted.
+	n := rationParts + int64(max(0, now.Sub(r.epoch))/r.step)
 	i := int(n % rationParts)
 	if r.stamps[i] != n {
 		r.stamps[i] = n
@@ -53,7 +61,7 @@
 	i := r.at(now)
 	requests, repeats := 0, 0
 	for k, p := range r.parts {
-		if r.stamps[i]-r.stamps[k] < rationParts {
+		if r.stamps[k] > 0 && r.stamps[i]-r.stamps[k] < rationParts {
 			requests += p.requests
 			repeats += p.repeats
 		}
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -54,9 +54,11 @@
 	switch r {
 	case Answered:
 		u.failures, u.ejections = 0, 0
+		u.judge(now, false)
 		f.learn(a, now.Sub(a.begun), work)
 	case Failed:
 		u.failures++
+		u.judge(now, true)
 		f.eject(now, u)
 	case Refused:
 		f.refuse(now, u)
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -96,6 +96,23 @@
 // request's usual work: crossing it is slower and is paid by the byte.
 const awayCost = 0.35
 
+const (
+	// tieBreak spreads questions over upstreams that look alike.
+	tieBreak = 0.1
+	// silentCost is what a question without an answer costs an upstream.
+	silentCost = 0.5
+)
+
+// price is the cost of a request at the upstream with what it costs to go
+// there and the part of requests that fail there.
+func (f *Fleet) price(now time.Time, u *Upstream) float64 {
+	c := f.Cost(now, u) + faultCost*u.faulty(now)
+	if u.spec.Domain != f.Domain {
+		c += awayCost
+	}
+	return c
+}
+
 // candidate is an upstream with the cost of sending to it.
 type candidate struct {
 	upstream *Upstream
@@ -109,10 +126,7 @@
 		if !u.Usable(now) || skip != nil && skip(u) {
 			continue
 		}
-		c := f.Cost(now, u) + 0.1*f.float() + 0.5*float64(u.silent)
-		if u.spec.Domain != f.Domain {
-			c += awayCost
-		}
+		c := f.price(now, u) + tieBreak*f.float() + silentCost*float64(u.silent)
 		out = append(out, candidate{upstream: u, cost: c})
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
@@ -187,17 +201,21 @@
 // bettered by others of its scope: it works at its usual pace, and has slots
 // to spare.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.Usable(now) && u.slowness(now) <= idealSlowness && !u.above(now)
+	return u.Usable(now) && u.slowness(now) <= idealSlowness && !u.above(now) && u.faulty(now) < idealFaults
 }
 
 // Enough reports whether no upstream of another failure domain can be better
 // than u, which was just heard of, by more than it costs to go there.
 func (f *Fleet) Enough(now time.Time, u *Upstream) bool {
-	return u != nil && f.Cost(now, u) <= 1+awayCost
+	return u != nil && f.price(now, u) <= 1+awayCost
 }
 
-// idealSlowness is the pace that counts as usual.
-const idealSlowness = 1.1
+const (
+	// idealSlowness is the pace that counts as usual.
+	idealSlowness = 1.1
+	// idealFaults is the part of failed requests that counts as chance.
+	idealFaults = 0.1
+)
 
 // busyMargin is how far the estimate of what an upstream runs may be above
 // its room: what is left of a report that fades is no whole request.
@@ -213,10 +231,7 @@
 		if !u.Usable(now) || u.busy(now)+1 > float64(u.Slots())+busyMargin {
 			continue
 		}
-		c := f.Cost(now, u)
-		if u.spec.Domain != f.Domain {
-			c += awayCost
-		}
+		c := f.price(now, u)
 		if best == nil || c < lowest {
 			best, lowest = u, c
 		}
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Spec is what service discovery tells of an upstream.
 type Spec struct {
@@ -45,6 +48,9 @@
 	ownThen int
 	// failures counts failed requests since the last good one.
 	failures int
+	// faults is the part of its last requests that failed, as of judged.
+	faults float64
+	judged time.Time
 	// ejected is until when the upstream is not used, and ejections how often
 	// in a row that happened.
 	ejected   time.Time
@@ -86,6 +92,33 @@
 	return !u.gone && !u.spec.Leaving && !u.Ejected(now)
 }
 
+const (
+	// faultShare is the weight of one request in the part that failed.
+	faultShare = 0.2
+	// faultFade is the time in which what failed counts half: without it an
+	// upstream that is avoided would never be found sound again.
+	faultFade = 2 * time.Second
+	// faultCost is what the part that failed costs, in units of a request's
+	// work: a request that fails takes its time and has to be sent again.
+	faultCost = 4
+)
+
+// faulty returns the part of the last requests that failed.
+func (u *Upstream) faulty(now time.Time) float64 {
+	if u.faults == 0 {
+		return 0
+	}
+	return u.faults * math.Exp2(-float64(now.Sub(u.judged))/float64(faultFade))
+}
+
+// judge takes in whether a request failed.
+func (u *Upstream) judge(now time.Time, failed bool) {
+	u.faults, u.judged = u.faulty(now)*(1-faultShare), now
+	if failed {
+		u.faults += faultShare
+	}
+}
+
 const (
 	// reportFade is the age at which what a report tells of other entries'
 	// requests counts for nothing: about the length of a request's work.
