--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -21,7 +21,6 @@
 	"poplarwind/platform"
 	"poplarwind/reporter"
 	"poplarwind/resolver"
-	"poplarwind/router"
 	"poplarwind/tracker"
 	"poplarwind/watcher"
 )
@@ -266,38 +265,6 @@
 	}
 }
 
-const (
-	// leaveMargin is what a planned stop leaves of its time, so that the process
-	// ends by itself.
-	leaveMargin = 700 * time.Millisecond
-	// serveShare is the part of a planned stop for which requests are still
-	// taken in: those that come last then have the rest of it to be answered.
-	serveShare = 0.55
-)
-
-// leave takes the entry out of service. It is not ready any more and not in
-// the answers to callers, but serves those that still come, who may have got
-// its address some seconds ago. Then it takes in no more: new connections find
-// nobody, requests on kept ones are told to go elsewhere. What is in flight has
-// the rest of the time.
-func (g *Gateway) leave(ctx context.Context) {
-	begun := time.Now()
-	end := begun.Add(g.process.Gateway().Grace() - leaveMargin)
-	g.log.Info("entry leaving", "running", g.forwarder.Running())
-	g.leaving.Store(true)
-	g.forwarder.Leave()
-	g.announcer.Farewell(ctx)
-	sleeper.Sleep(ctx, time.Until(begun.Add(time.Duration(serveShare*float64(end.Sub(begun))))))
-	g.forwarder.Close()
-	if err := g.doors[0].Close(); err != nil {
-		g.log.Warn("listener not closed", "error", err.Error())
-	}
-	for time.Now().Before(end) && (g.forwarder.Running() > 0 || time.Until(end) > quietFor) {
-		sleeper.Sleep(ctx, leaveStep)
-	}
-	g.log.Info("entry left", "running", g.forwarder.Running(), "took_ms", time.Since(begun).Milliseconds())
-}
-
 const (
 	// enrollEvery is how often the list of entries is read: those that lost
 	// sight of each other find together again by it.
@@ -334,71 +301,6 @@
 	return nil
 }
 
-// adopt puts what the store says in force as it changes.
-func (g *Gateway) adopt(ctx context.Context) error {
-	for ctx.Err() == nil {
-		changed := g.state.Changed()
-		g.adoptConfig()
-		next := g.adoptUpstreams()
-		var look <-chan time.Time
-		if !next.IsZero() {
-			look = time.After(time.Until(next))
-		}
-		select {
-		case <-changed:
-		case <-look:
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
-// adoptConfig puts the newest configuration in force if it is newer than the
-// one that is.
-func (g *Gateway) adoptConfig() {
-	for _, c := range g.state.All(tracker.Configs) {
-		if c.Config == nil {
-			continue
-		}
-		old := g.forwarder.Table()
-		if old != nil && c.Config.Version <= old.Version() {
-			continue
-		}
-		t, err := router.NewTable(*c.Config, old)
-		if err != nil {
-			g.log.Warn("configuration refused", "version", c.Config.Version, "rev", c.Revision, "error", err.Error())
-			continue
-		}
-		g.forwarder.Configure(t)
-		g.table.Describe(uint64(t.Version()), nil, nil)
-		g.log.Info("configuration in force", "version", t.Version(), "rev", c.Revision, "routes", len(c.Config.Routes))
-	}
-}
-
-// adoptUpstreams brings the upstreams in use in step. It returns when to look
-// again.
-func (g *Gateway) adoptUpstreams() time.Time {
-	named := make(map[string]placer.Spec)
-	for _, c := range g.state.All(tracker.Upstreams) {
-		if c.Upstream != nil {
-			named[c.Name] = *c.Upstream
-		}
-	}
-	use, next := g.lapse.Step(time.Now(), named)
-	for id := range g.used {
-		if _, ok := use[id]; !ok {
-			g.forwarder.Remove(id)
-		}
-	}
-	for id, s := range use {
-		if old, ok := g.used[id]; !ok || old != s {
-			g.forwarder.Put(s)
-		}
-	}
-	g.used = use
-	return next
-}
-
 func (g *Gateway) trim(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleeper.Sleep(ctx, trimEvery)
