--- a/runner/gateway_test.go
+++ b/runner/gateway_test.go
@@ -9,9 +9,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"poplarwind/parser"
 	"poplarwind/platform/imitator"
@@ -240,20 +242,24 @@
 	return string(body)
 }
 
-// TestStopInTime stops an entry whose watch of the store has no answer: it ends
-// within its grace time all the same.
+// TestStopInTime ends an entry while a duty is in a call that does not end: the
+// stop does not wait for it.
 func TestStopInTime(t *testing.T) {
-	s := newSite(t, time.Millisecond)
-	g := s.start("e1", "1500ms")
-	time.Sleep(2500 * time.Millisecond)
-	s.store.Set(imitator.Trouble{Silent: true})
-	time.Sleep(300 * time.Millisecond)
-	begun := time.Now()
-	g.stop()
-	if err := <-g.done; err != nil {
-		t.Errorf("got: %v want: an orderly end", err)
-	}
-	if d := time.Since(begun); d > 1500*time.Millisecond {
-		t.Errorf("got: %v want: within the grace time", d)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gateway{log: slog.New(slog.DiscardHandler)}
+		call := make(chan struct{})
+		var group errgroup.Group
+		group.Go(func() error {
+			<-call
+			return nil
+		})
+		begun := time.Now()
+		if err := g.join(&group); err != nil {
+			t.Errorf("got: %v want: no error", err)
+		}
+		if d := time.Since(begun); d > 200*time.Millisecond {
+			t.Errorf("got: %v want: at most 200 ms", d)
+		}
+		close(call)
+	})
 }
