--- a/tracker/fleet_test.go
+++ b/tracker/fleet_test.go
@@ -184,6 +184,22 @@
 	return f
 }
 
+// lost reports whether an entry reaches neither the store nor another entry.
+func (f *fleet) lost(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shelf.mu.Lock()
+	defer f.shelf.mu.Unlock()
+	return f.cut[name] && (f.shelf.away[name] || f.shelf.silent[name])
+}
+
+// count returns how many calls there were.
+func (s *shelf) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // version returns the version that an entry has.
 func (f *fleet) version(name string) int64 {
 	for _, c := range f.states[name].All(Configs) {
@@ -226,9 +242,7 @@
 					want := int64(f.shelf.put())
 					time.Sleep(bound)
 					for _, m := range f.members() {
-						// An entry that reaches neither the store nor another
-						// entry can't know.
-						if f.cut[m.Name] && (f.shelf.away[m.Name] || f.shelf.silent[m.Name]) {
+						if f.lost(m.Name) {
 							continue
 						}
 						if got := f.version(m.Name); got != want {
@@ -251,10 +265,10 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			f := beginFleet(ctx, n)
 			time.Sleep(10 * time.Second)
-			before := f.shelf.calls
+			before := f.shelf.count()
 			time.Sleep(30 * time.Second)
 			// Two passes a call: one before its wait, one behind it.
-			if got := (f.shelf.calls - before) / 2; got > 60 {
+			if got := (f.shelf.count() - before) / 2; got > 60 {
 				t.Errorf("%d entries: got: %d calls in 30 s want: at most 60", n, got)
 			}
 			cancel()
