--- a/runner/gateway_test.go
+++ b/runner/gateway_test.go
@@ -40,17 +40,7 @@
 	s := &site{t: t, store: &imitator.Store{}}
 	l, up := listen(t), listen(t)
 	s.addr = l.Addr().String()
-	upstream := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
-		ctx.Response.Header.Set("Server-Load", "0,0,60,100")
-		if string(ctx.Path()) == "/healthz" {
-			ctx.Response.Header.Set("Instance-Id", "i-1")
-			return
-		}
-		time.Sleep(work)
-		ctx.Response.Header.SetBytesV("Request-Id", ctx.Request.Header.Peek("Request-Id"))
-		ctx.Response.Header.Set("Response-Stamp", "s")
-		ctx.SetBodyString("whole")
-	}}
+	upstream := &fasthttp.Server{Handler: imitator.Upstream("i-1", work)}
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = s.store.Serve(l) })
 	wg.Go(func() { _ = upstream.Serve(up) })
@@ -59,8 +49,8 @@
 		_ = up.Close()
 		wg.Wait()
 	})
-	s.store.Put("config", "main", `{"version":3,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","type":"safe","timeout_ms":2000,"target_latency_ms":500,"service":"jobs","max_attempts":2}],"services":[{"name":"jobs","health_path":"/healthz"}]}`)
-	s.store.Put("servers", "i-1", fmt.Sprintf(`{"service":"jobs","address":%q,"zone":"a","capacity":60,"phase":"ready"}`, up.Addr()))
+	s.store.PutRoute(3, "h.example", "/a/", "jobs")
+	s.store.PutUpstream("i-1", "jobs", up.Addr().String(), "a")
 	return s
 }
 
@@ -104,7 +94,7 @@
 // ask sends one request on a connection and returns the status.
 func ask(c net.Conn, id string) (int, error) {
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	if _, err := fmt.Fprintf(c, "GET /a/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n", id); err != nil {
+	if _, err := io.WriteString(c, imitator.Request("h.example", "/a/1", id)); err != nil {
 		return 0, err
 	}
 	buffer := make([]byte, 4096)
@@ -188,7 +178,7 @@
 	o := a.process.Gateway()
 	want := fmt.Sprintf("%q", b.process.Callers())
 	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-		body := get(t, "http://"+o.Resolve()+"/poplarwind/resolve?name=h.example&zone=a", 200)
+		body := get(t, "http://"+o.Resolve()+imitator.ResolveQuery("h.example", "a"), 200)
 		if strings.Contains(body, want) && strings.Contains(body, a.process.Callers()) {
 			break
 		}
@@ -196,7 +186,7 @@
 			t.Fatalf("got: %s want: both entries", body)
 		}
 	}
-	get(t, "http://"+o.Ready()+"/poplarwind/readyz", 200)
+	get(t, "http://"+o.Ready()+imitator.ReadyPath, 200)
 	get(t, "http://"+o.Ready()+"/other", 404)
 	c, err := net.Dial("tcp", a.process.Callers())
 	if err != nil {
@@ -214,7 +204,7 @@
 	}
 	a.stop()
 	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-		body := get(t, "http://"+b.process.Gateway().Resolve()+"/poplarwind/resolve?name=h.example&zone=a", 200)
+		body := get(t, "http://"+b.process.Gateway().Resolve()+imitator.ResolveQuery("h.example", "a"), 200)
 		if !strings.Contains(body, a.process.Callers()) {
 			break
 		}
