runner: connections rest as long as the configuration in force allows

The limit of the configuration on idle connections was not applied: each was kept for a minute. The listener's connections now take their idle deadline from the configuration in force, also when it changes while they are open.

--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -55,8 +55,8 @@
 }
 
 const (
-	// gatewayIdle is how long a caller's connection may rest. Operators bound
-	// it in the configuration; callers stay within that.
+	// gatewayIdle is how long a connection may rest where the configuration
+	// sets no bound.
 	gatewayIdle = time.Minute
 	// holdShare is the part of the upstreams' drain time for which lapsed
 	// upstreams stay in use.
@@ -128,9 +128,19 @@
 		}
 		g.doors[i].Listener = l
 	}
+	g.doors[0].Listener = idleListener{Listener: g.doors[0].Listener, bound: g.idle}
 	return nil
 }
 
+// idle returns how long a caller's connection may rest by the configuration in
+// force, 0 if that does not say.
+func (g *Gateway) idle() time.Duration {
+	if t := g.forwarder.Table(); t != nil {
+		return t.Limits().Idle
+	}
+	return 0
+}
+
 // ready reports whether requests can be served here.
 func (g *Gateway) ready() bool {
 	return !g.leaving.Load() && g.forwarder.Table() != nil && g.state.Mark(time.Now(), tracker.Upstreams).AsOf > 0
