forwarder, tracker, router: what nothing uses is gone; a pool at its bound is no failure of the upstream

Read as a newcomer: an index of routes by service, counts of reads and a deadline in the line had no reader; listeners are named by place. A request that found all connections to its upstream in use counted as a failure there and could eject it.

--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -27,8 +27,9 @@
 type asked struct {
 	upstream *placer.Upstream
 	conn     *pooler.Conn
-	// attempt is set for the one that was taken.
+	// attempt is set for the one that was taken, err if it can't be reached.
 	attempt *placer.Attempt
+	err     error
 }
 
 // inquiry collects the answers of upstreams that are asked at once.
@@ -108,7 +109,7 @@
 	if err != nil {
 		x.forwarder.options.Log.Debug("upstream not reached", "upstream", u.ID(), "error", err.Error())
 	}
-	return asked{upstream: u, conn: c, attempt: a}
+	return asked{upstream: u, conn: c, attempt: a, err: err}
 }
 
 // inquire asks upstreams for their load and takes the best.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -166,7 +166,7 @@
 const needShare = 0.8
 
 func (x *exchange) lineUp() limiter.Place {
-	return limiter.Place{Rank: x.path.Rank, Due: x.due, Deadline: x.deadline, Needs: x.work.Usual()}
+	return limiter.Place{Rank: x.path.Rank, Due: x.due, Needs: x.work.Usual()}
 }
 
 // place finds an upstream with a slot, waiting in the line if there is none.
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/internal/edge"
@@ -43,7 +44,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.left:
+	case o.left, errors.Is(o.err, pooler.ErrBusy):
 		return placer.Dropped
 	default:
 		return placer.Failed
@@ -56,7 +57,7 @@
 	o := outcome{}
 	if a.conn == nil {
 		x.unreached = append(x.unreached, a.upstream)
-		o.err = errLost
+		o.err = a.err
 	} else {
 		x.attempts = append(x.attempts, a.upstream)
 		x.converse(a.conn, a.upstream, &o)
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -80,8 +80,7 @@
 	mu sync.Mutex
 	// plan holds the faults of the coming requests, over all upstreams.
 	plan []fault
-	// runs counts how often each request ran, and promised holds those that
-	// ran after they were refused.
+	// runs counts how often each request ran.
 	runs map[string]int
 	// load is what upstreams say is running.
 	load    map[string]int
--- a/internal/modeler/model.go
+++ b/internal/modeler/model.go
@@ -301,7 +301,7 @@
 		return
 	}
 	r.waited = true
-	e.line.Push(r, limiter.Place{Due: r.due, Deadline: r.end, Needs: e.work.Usual()})
+	e.line.Push(r, limiter.Place{Due: r.due, Needs: e.work.Usual()})
 	if !e.armed {
 		e.armed = true
 		m.after(lineEvery, func() {
--- a/limiter/line.go
+++ b/limiter/line.go
@@ -10,9 +10,8 @@
 type Place struct {
 	// Rank is the urgency of its kind, 0 first.
 	Rank int
-	// Due is when its answer is worth most at the latest, Deadline when it is
-	// worth anything.
-	Due, Deadline time.Time
+	// Due is until when its answer is worth most.
+	Due time.Time
 	// Needs is how long it takes once sent.
 	Needs time.Duration
 }
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -29,7 +29,6 @@
 	Start     time.Time
 	Ready     func() bool
 	State     *tracker.State
-	Tracker   *tracker.Tracker
 	Table     *announcer.Table
 	Announcer *announcer.Announcer
 	Forwarder *forwarder.Forwarder
--- a/router/table.go
+++ b/router/table.go
@@ -12,8 +12,6 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts    map[string][]*Path
 	services map[string]*Service
-	// ranks holds, for each service, the ranks of the routes to it.
-	users map[string][]*Path
 }
 
 // Path is a route of a table with the state of its split.
@@ -30,7 +28,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	t := &Table{spec: s, hosts: make(map[string][]*Path), services: make(map[string]*Service), users: make(map[string][]*Path)}
+	t := &Table{spec: s, hosts: make(map[string][]*Path), services: make(map[string]*Service)}
 	for i := range t.spec.Services {
 		v := &t.spec.Services[i]
 		t.services[v.Name] = v
@@ -40,9 +38,6 @@
 		host := strings.ToLower(r.Host)
 		p := &Path{Route: r, split: old.splitOf(r)}
 		t.hosts[host] = append(t.hosts[host], p)
-		for _, part := range r.Parts {
-			t.users[part.Service] = append(t.users[part.Service], p)
-		}
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Path) int { return len(b.Prefix) - len(a.Prefix) })
@@ -74,9 +69,6 @@
 // Service returns what the configuration tells of a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Paths returns the routes that may send requests to a service.
-func (t *Table) Paths(service string) []*Path { return t.users[service] }
-
 // Find returns the route with the longest prefix that begins the path, among
 // those of the host, or nil. The path may carry a query.
 func (t *Table) Find(host, path string) *Path {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -37,7 +37,8 @@
 	forwarder *forwarder.Forwarder
 	recorder  *reporter.Recorder
 	reporter  *reporter.Gateway
-	doors     []gate
+	// doors begins with those that any daemon has, by place: callers, peers, ops.
+	doors []gate
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
 	// lapse decides which upstreams count that the store does not name. Only
@@ -49,9 +50,10 @@
 // gate is a listener of a gateway with what answers on it.
 type gate struct {
 	door
-	addr   string
-	handle fasthttp.RequestHandler
-	idle   time.Duration
+	// address is where it listens by the settings.
+	address string
+	handle  fasthttp.RequestHandler
+	idle    time.Duration
 }
 
 const (
@@ -97,7 +99,7 @@
 	})
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
-		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Tracker: g.tracker, Table: g.table,
+		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
 		Announcer: g.announcer, Forwarder: g.forwarder, Calls: g.store.Calls, Dropped: dropped,
 	})
 	if err != nil {
@@ -115,20 +117,20 @@
 	o := p.Gateway()
 	small := door{body: opsBody, header: smallHeaders, conns: peersAndOps}
 	g.doors = []gate{
-		{addr: p.Callers(), handle: g.forwarder.Handle, idle: gatewayIdle, door: door{body: p.Body(), header: p.Header(), conns: p.Conns()}},
-		{addr: p.Peers(), handle: g.announcer.Handle, idle: gatewayIdle, door: door{body: peersBody, header: smallHeaders, conns: peersAndOps}},
-		{addr: p.Ops(), handle: g.reporter.Handle, idle: idleCaller, door: small},
-		{addr: o.Resolve(), handle: platform.Resolve(g.resolve), idle: idleCaller, door: small},
-		{addr: o.Ready(), handle: platform.Ready(g.ready), idle: idleCaller, door: small},
+		{address: p.Callers(), handle: g.forwarder.Handle, idle: gatewayIdle, door: door{body: p.Body(), header: p.Header(), conns: p.Conns()}},
+		{address: p.Peers(), handle: g.announcer.Handle, idle: gatewayIdle, door: door{body: peersBody, header: smallHeaders, conns: peersAndOps}},
+		{address: p.Ops(), handle: g.reporter.Handle, idle: idleCaller, door: small},
+		{address: o.Resolve(), handle: platform.Resolve(g.resolve), idle: idleCaller, door: small},
+		{address: o.Ready(), handle: platform.Ready(g.ready), idle: idleCaller, door: small},
 	}
 	for i := range g.doors {
-		l, err := net.Listen("tcp", g.doors[i].addr)
+		l, err := net.Listen("tcp", g.doors[i].address)
 		if err != nil {
-			return errors.Annotatef(err, "listening at %s", g.doors[i].addr)
+			return errors.Annotatef(err, "listening at %s", g.doors[i].address)
 		}
 		g.doors[i].Listener = l
 	}
-	g.doors[0].Listener = idleListener{Listener: g.doors[0].Listener, bound: g.idle}
+	g.doors[callers].Listener = idleListener{Listener: g.doors[callers].Listener, bound: g.idle}
 	return nil
 }
 
--- a/runner/leave.go
+++ b/runner/leave.go
@@ -33,7 +33,7 @@
 	g.announcer.Farewell(ctx)
 	sleeper.Sleep(ctx, time.Until(begun.Add(time.Duration(serveShare*float64(end.Sub(begun))))))
 	g.forwarder.Close()
-	if err := g.doors[0].Close(); err != nil {
+	if err := g.doors[callers].Close(); err != nil {
 		g.log.Warn("listener not closed", "error", err.Error())
 	}
 	for time.Now().Before(end) && (g.forwarder.Running() > 0 || time.Until(end) > quietFor) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -76,8 +76,6 @@
 	self   string
 	live   func() []announcer.Member
 	log    *slog.Logger
-	// reads counts calls to the store, failed those without an answer.
-	reads, failed atomic.Int64
 	// reachable holds whether the last call of each kind had an answer.
 	reachable [Kinds]atomic.Bool
 	// told wakes the goroutine that passes news on.
@@ -97,9 +95,6 @@
 	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, told: make(chan struct{}, 1), start: time.Now(), blind: make(map[string]time.Time)}
 }
 
-// Reads returns how many calls were made to the store and how many failed.
-func (t *Tracker) Reads() (all, failed int64) { return t.reads.Load(), t.failed.Load() }
-
 // Follow keeps the copy of one kind up to date until ctx ends.
 func (t *Tracker) Follow(ctx context.Context, k Kind) error {
 	for ctx.Err() == nil {
@@ -163,7 +158,6 @@
 	if ok {
 		t.log.Info("store answers", "kind", k.String())
 	} else {
-		t.failed.Add(1)
 		t.log.Warn("store lost", "kind", k.String(), "error", err.Error(), "age_ms", t.state.Mark(time.Now(), k).Age.Milliseconds())
 	}
 }
@@ -191,7 +185,6 @@
 }
 
 func (t *Tracker) list(ctx context.Context, k Kind, stale bool) error {
-	t.reads.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	asked := time.Now()
@@ -203,7 +196,6 @@
 }
 
 func (t *Tracker) watch(ctx context.Context, k Kind, after uint64, wait time.Duration) error {
-	t.reads.Add(1)
 	limited, cancel := context.WithTimeout(ctx, wait+answerWait)
 	defer cancel()
 	d, err := t.source.Watch(limited, k, after, wait)
