--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
-# All tests but those that KNOWN-RED.txt names, which are printed.
+# All tests but those that KNOWN-RED.txt names, which are printed. Arguments are
+# flags and packages of go test, all packages without any.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 red=$(grep -v '^#' KNOWN-RED.txt || true)
+[ $# -gt 0 ] || set -- ./...
 skip=$(printf '%s\n' "$red" | awk -F'|' 'NF > 1 { gsub(/ /, "", $1); printf "%s^%s$", sep, $1; sep = "|" }')
-go test -count=1 ${skip:+-skip="$skip"} ./...
+go test -count=1 ${skip:+-skip="$skip"} "$@"
 echo "== known red, not run:"
 printf '%s\n' "${red:-none}"
