--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -182,29 +182,24 @@
 	}
 	ahead := s.line.Ahead(now, x.lineUp())
 	s.mu.Unlock()
-	holds := false
-	for {
-		if ahead == 0 || holds {
-			a := x.choose(holds)
-			x.yield(&holds)
-			if a.attempt != nil {
-				return a, nil
+	for waits := ahead > 0; ; waits = true {
+		if waits {
+			if err := x.queue(); err != nil {
+				return asked{}, err
 			}
 		}
-		ahead = 0
-		if err := x.queue(); err != nil {
-			return asked{}, err
+		a := x.choose(waits)
+		if waits {
+			x.yield()
+		}
+		if a.attempt != nil {
+			return a, nil
 		}
-		holds = true
 	}
 }
 
 // yield gives the turn on to the next of the line.
-func (x *exchange) yield(holds *bool) {
-	if !*holds {
-		return
-	}
-	*holds = false
+func (x *exchange) yield() {
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	x.service.turns--
