--- a/internal/bencher/sim.go
+++ b/internal/bencher/sim.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 
 	"poplarwind/announcer"
 	"poplarwind/dispatcher"
+	"poplarwind/internal/scheduler"
 	"poplarwind/parser"
 	"poplarwind/picker"
 	"poplarwind/prober"
@@ -110,32 +110,10 @@
 // effective is the part of their speed that servers keep under noise.
 const effective = 1 - float64(noiseFor)/float64(noiseEvery)*(1-1.0/noiseFactor)
 
-type moment struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type agenda []moment
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(moment)) }
-func (a *agenda) Pop() any {
-	old := *a
-	m := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return m
-}
-
 type sim struct {
 	trial   Trial
 	now     time.Duration
-	seq     int
-	agenda  agenda
+	agenda  scheduler.Queue
 	random  *rand.Rand
 	servers []*server
 	entries []*entry
@@ -152,8 +130,7 @@
 func (s *sim) clock() time.Time { return epoch.Add(s.now) }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.agenda, moment{s.now + d, s.seq, do})
+	s.agenda.Add(s.now+d, do)
 }
 
 func (s *sim) delay(a, b int) time.Duration {
@@ -196,12 +173,9 @@
 	rate := t.Use * effective * float64(t.Shape.Servers*t.Shape.Slots) / t.Shape.Mean.Seconds()
 	s.arrive(rate)
 	end := warmUp + t.For
-	for len(s.agenda) > 0 {
-		m := heap.Pop(&s.agenda).(moment)
-		if s.now = m.at; s.now > end+15*time.Second {
-			break
-		}
-		m.do()
+	for at, do, ok := s.agenda.Next(); ok && at <= end+15*time.Second; at, do, ok = s.agenda.Next() {
+		s.now = at
+		do()
 	}
 	return s.close()
 }
--- a/internal/modeler/model.go
+++ b/internal/modeler/model.go
@@ -1,7 +1,6 @@
 package modeler
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"poplarwind/internal/scheduler"
 	"poplarwind/limiter"
 	"poplarwind/placer"
 )
@@ -110,33 +110,11 @@
 	armed  bool
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	e := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return e
-}
-
 type model struct {
 	shape     Shape
 	policy    Policy
 	now       time.Duration
-	seq       int
-	agenda    agenda
+	agenda    scheduler.Queue
 	random    *rand.Rand
 	servers   []*server
 	entries   []*entry
@@ -149,8 +127,7 @@
 func (m *model) clock() time.Time { return time.Unix(1e9, 0).Add(m.now) }
 
 func (m *model) after(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.agenda, event{m.now + d, m.seq, do})
+	m.agenda.Add(m.now+d, do)
 }
 
 func (m *model) delay(e *entry, s *server) time.Duration {
@@ -177,12 +154,9 @@
 		m.entries = append(m.entries, e)
 	}
 	m.arrive(use*shape.capacity(), span)
-	for len(m.agenda) > 0 {
-		e := heap.Pop(&m.agenda).(event)
-		if m.now = e.at; m.now > span+10*time.Second {
-			break
-		}
-		e.do()
+	for at, do, ok := m.agenda.Next(); ok && at <= span+10*time.Second; at, do, ok = m.agenda.Next() {
+		m.now = at
+		do()
 	}
 	return m.close(span)
 }
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,55 @@
+// Package scheduler orders what happens in virtual time.
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Queue holds what is to be done and when. Things of one time are done in the
+// order in which they were added. Its zero value is empty.
+type Queue struct {
+	events events
+	seq    int
+}
+
+// Add plans what to do at a time.
+func (q *Queue) Add(at time.Duration, do func()) {
+	q.seq++
+	heap.Push(&q.events, event{at, q.seq, do})
+}
+
+// Next takes out what is to be done first, false if there is nothing.
+func (q *Queue) Next() (at time.Duration, do func(), ok bool) {
+	if len(q.events) == 0 {
+		return 0, nil, false
+	}
+	e := heap.Pop(&q.events).(event)
+	return e.at, e.do, true
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+// events implements heap.Interface.
+type events []event
+
+func (l events) Len() int { return len(l) }
+
+func (l events) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
+}
+
+func (l events) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+
+func (l *events) Push(x any) { *l = append(*l, x.(event)) }
+
+func (l *events) Pop() any {
+	old := *l
+	e := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return e
+}
