tracker, forwarder: a first start does not read the store a hundred times; retries for those that carry

An entry now reads by itself only after the membership has settled and the news could have come, later where the settings say that the whole deployment starts for the first time; the list of entries is read by one entry each 600 ms, whatever their number.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,8 @@
 	// All is how many there are, and Carriers how many carry a service, both at
 	// least 1.
 	All, Carriers int
+	// Carries says that this one carries the service.
+	Carries bool
 	// Questions is the part of all questions for the load of an upstream that
 	// this entry may ask, by where the upstream is.
 	Questions [placer.Scopes]float64
@@ -100,7 +102,9 @@
 		o.Probes = defaultProbes
 	}
 	if o.Entries == nil {
-		o.Entries = func(string) Entries { return Entries{All: 1, Carriers: 1, Questions: [placer.Scopes]float64{1, 1}} }
+		o.Entries = func(string) Entries {
+			return Entries{All: 1, Carriers: 1, Carries: true, Questions: [placer.Scopes]float64{1, 1}}
+		}
 	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -36,10 +36,13 @@
 	// entries spend. Each earns it by its own requests, so that all together
 	// stay within it; they count in steps.
 	rationShare = 0.95
-	// allowanceShare is the same for the part that does not grow with load.
-	// Entries may differ in how many they think they are, and one that starts
-	// anew can spend its part again.
-	allowanceShare = 0.4
+	// allowanceShare is the same for the part that does not grow with load, of
+	// the entries that carry a service, and idleShare that of all the others.
+	// Entries may differ in who they think carries it, those that take another's
+	// place have a part of their own, and one that starts anew can spend its part
+	// again.
+	allowanceShare = 0.3
+	idleShare      = 0.1
 )
 
 // work returns how long the requests of a route take here. The lock must be
@@ -69,7 +72,11 @@
 	for scope, part := range e.Questions {
 		s.fleet.Probes[scope] = part * o.Probes
 	}
-	s.ration.Set(rationShare*o.Retries.Share, allowanceShare*o.Retries.Allowance/float64(max(1, e.All)), o.Retries.Window)
+	allowance := idleShare * o.Retries.Allowance / float64(e.All)
+	if e.Carries {
+		allowance = allowanceShare * o.Retries.Allowance / float64(e.Carriers)
+	}
+	s.ration.Set(rationShare*o.Retries.Share, allowance, o.Retries.Window)
 	s.ration.Count(now)
 	return s.work(route)
 }
--- a/parser/gateway.go
+++ b/parser/gateway.go
@@ -15,6 +15,7 @@
 	Memory  int           `json:"memory"`
 	Cores   float64       `json:"cores"`
 	Link    float64       `json:"link"`
+	First   bool          `json:"first"`
 }
 
 func (d *document) checkGateway(g *gatewaySpec) error {
@@ -80,5 +81,9 @@
 // Link returns the bandwidth of the instance in Mbit/s, 0 if untold.
 func (g Gateway) Link() float64 { return g.spec.Link }
 
+// First reports whether the whole deployment starts for the first time, so that
+// nobody calls yet.
+func (g Gateway) First() bool { return g.spec.First }
+
 // Memory returns the bound on the process's memory in MiB, 0 for none.
 func (g Gateway) Memory() int { return g.spec.Memory }
--- a/runner/census.go
+++ b/runner/census.go
@@ -138,7 +138,9 @@
 	c := g.census()
 	e := forwarder.Entries{All: max(1, len(c.all)), Questions: c.questions}
 	for d := range c.byDomain {
-		e.Carriers += len(c.in(service, d))
+		list := c.in(service, d)
+		e.Carriers += len(list)
+		e.Carries = e.Carries || slices.ContainsFunc(list, func(m announcer.Member) bool { return m.Name == g.process.Name() })
 	}
 	e.Carriers = max(1, e.Carriers)
 	return e
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -92,6 +92,9 @@
 		Log: log,
 	})
 	g.tracker = tracker.New(g.state, g.store, g.announcer, p.Name(), func() []announcer.Member { return g.table.Live(time.Now()) }, log)
+	if o.First() {
+		g.tracker.First()
+	}
 	g.recorder = reporter.NewRecorder(log)
 	share, extra, window := o.Retries()
 	g.forwarder = forwarder.New(forwarder.Options{
@@ -208,9 +211,11 @@
 }
 
 const (
-	// enrollEvery is how often the list of entries is read: those that lost
-	// sight of each other find together again by it.
-	enrollEvery = 10 * time.Second
+	// enrollEvery is how often one of all entries reads the list of entries:
+	// those that lost sight of each other find together again by it. An entry
+	// that sees few others reads it as often as a small deployment's would.
+	enrollEvery = 600 * time.Millisecond
+	enrollLeast = 10 * time.Second
 	enrollWait  = 500 * time.Millisecond
 )
 
@@ -234,7 +239,7 @@
 			g.log.Warn("list of entries not read", "error", err.Error())
 		}
 		g.table.Introduce(time.Now(), false, list...)
-		pause := enrollEvery
+		pause := max(enrollLeast, enrollEvery*time.Duration(len(g.census().all)))
 		if !known || err != nil || len(list) < 2 {
 			pause = time.Second
 		}
--- a/tracker/fleet_test.go
+++ b/tracker/fleet_test.go
@@ -127,6 +127,8 @@
 	live []announcer.Member
 	// cut holds the entries that no other entry reaches.
 	cut map[string]bool
+	// strangers is until when each entry sees itself alone.
+	strangers time.Time
 }
 
 func (f *fleet) members() []announcer.Member {
@@ -135,6 +137,14 @@
 	return slices.Clone(f.live)
 }
 
+// seen returns what an entry sees of the members.
+func (f *fleet) seen(m announcer.Member) []announcer.Member {
+	if time.Now().Before(f.strangers) {
+		return []announcer.Member{m}
+	}
+	return f.members()
+}
+
 // wire carries messages of one entry.
 type wire struct {
 	fleet *fleet
@@ -164,8 +174,13 @@
 }
 
 // begin starts entries in three failure domains.
-func beginFleet(ctx context.Context, n int) *fleet {
+func beginFleet(ctx context.Context, n int) *fleet { return beginStrangers(ctx, n, 0) }
+
+// beginStrangers is beginFleet with entries that find one another after a while,
+// when the whole deployment has started for the first time.
+func beginStrangers(ctx context.Context, n int, while time.Duration) *fleet {
 	f := &fleet{
+		strangers: time.Now().Add(while),
 		shelf: &shelf{revision: 1, away: map[string]bool{}, silent: map[string]bool{}}, trackers: map[string]*Tracker{},
 		states: map[string]*State{}, cut: map[string]bool{},
 	}
@@ -175,9 +190,12 @@
 	for _, m := range f.live {
 		s := &State{}
 		f.states[m.Name] = s
-		f.trackers[m.Name] = New(s, way{f.shelf, m.Name}, wire{f, m.Name}, m.Name, f.members, slog.New(slog.DiscardHandler))
+		f.trackers[m.Name] = New(s, way{f.shelf, m.Name}, wire{f, m.Name}, m.Name, func() []announcer.Member { return f.seen(m) }, slog.New(slog.DiscardHandler))
 	}
 	for _, t := range f.trackers {
+		if while > 0 {
+			t.First()
+		}
 		go func() { _ = t.Follow(ctx, Configs) }()
 		go func() { _ = t.Spread(ctx) }()
 	}
@@ -276,3 +294,27 @@
 		})
 	}
 }
+
+// TestFirstStart starts a hundred entries at once, which find one another after
+// three seconds: they don't read the store one by one in the meantime.
+func TestFirstStart(t *testing.T) {
+	const entries = 100
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := beginStrangers(ctx, entries, 3*time.Second)
+		time.Sleep(8 * time.Second)
+		// A list has one pass, a watch two.
+		if got := f.shelf.count(); got > entries+30 {
+			t.Errorf("got: %d passes in 8 s want: at most %d, a stale list each and the watches of one", got, entries+30)
+		}
+		want := int64(f.shelf.put())
+		time.Sleep(bound)
+		for _, m := range f.members() {
+			if got := f.version(m.Name); got != want {
+				t.Errorf("%s: got: version %d want: %d", m.Name, got, want)
+			}
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -80,8 +80,10 @@
 	reachable [Kinds]atomic.Bool
 	// told wakes the goroutine that passes news on.
 	told chan struct{}
-	// start is when the process began.
-	start time.Time
+	// start is when the process began, and settle how long it then waits for
+	// the membership.
+	start  time.Time
+	settle time.Duration
 
 	mu sync.Mutex
 	// blind holds entries that watched and lost the store, and until when they
@@ -92,15 +94,19 @@
 // New returns a tracker of the source for the entry named self; live returns
 // the live entries in order of name, this one among them.
 func New(s *State, source Source, peers Peers, self string, live func() []announcer.Member, log *slog.Logger) *Tracker {
-	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, told: make(chan struct{}, 1), start: time.Now(), blind: make(map[string]time.Time)}
+	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, told: make(chan struct{}, 1), start: time.Now(), settle: settleTime, blind: make(map[string]time.Time)}
 }
 
+// First says that the whole deployment starts for the first time. It must be
+// called before Follow.
+func (t *Tracker) First() { t.settle = firstSettle }
+
 // Follow keeps the copy of one kind up to date until ctx ends.
 func (t *Tracker) Follow(ctx context.Context, k Kind) error {
 	for ctx.Err() == nil {
 		m := t.state.Mark(time.Now(), k)
-		settled := time.Since(t.start) > settleTime
-		watch := settled && t.plan().Watch
+		settled := time.Since(t.start) - t.settle
+		watch := settled > 0 && t.plan().Watch
 		var err error
 		switch {
 		case m.AsOf == 0:
@@ -108,10 +114,10 @@
 			err = t.list(ctx, k, true)
 		case watch:
 			err = t.watch(ctx, k, m.AsOf, untilBeat(time.Now()))
-		case m.Age > staleAge && settled:
+		case min(m.Age, settled) > staleAge:
 			err = t.watch(ctx, k, m.AsOf, time.Millisecond)
 		default:
-			sleeper.Sleep(ctx, min(checkEvery, max(staleAge-m.Age, 0)+time.Millisecond))
+			sleeper.Sleep(ctx, min(checkEvery, max(staleAge-min(m.Age, settled), 0)+time.Millisecond))
 			continue
 		}
 		t.note(k, err)
@@ -129,9 +135,15 @@
 
 const (
 	// settleTime is how long an entry that has just started waits for the
-	// membership before it takes itself for the one that watches, or reads by
-	// itself: all entries may have started just now.
-	settleTime = 2 * time.Second
+	// membership before it takes itself for the one that watches: all entries
+	// may have started just now. Those that are told nothing read by themselves
+	// staleAge later: an entry must know the newest configuration three seconds
+	// after its start.
+	settleTime = 1800 * time.Millisecond
+	// firstSettle is the same where the whole deployment starts for the first
+	// time and nobody calls yet: with a hundred entries the membership takes
+	// three seconds to spread, and each of them would read the store until then.
+	firstSettle = 3500 * time.Millisecond
 	// blindTime is how long an entry that lost the store does not watch it.
 	blindTime = 5 * time.Second
 )
