forwarder: an upstream's silence counts only beside others' answers

A question without an answer now says something of an upstream only if another one answers meanwhile or it was asked alone; where all of several are silent, it is the entry.

Ruled out: a longer wait for answers (a request would pay for each silent upstream).

--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -38,9 +38,35 @@
 	// answers has room for all of them.
 	answers chan asked
 
+	// silent is told of an upstream without an answer.
+	silent func(*placer.Upstream)
+
 	mu sync.Mutex
 	// over says that later answers are of no use.
 	over bool
+	// asked and heard count upstreams, and mute holds those without an answer
+	// that were not told of yet.
+	asked, heard int
+	mute         []*placer.Upstream
+}
+
+// judge takes in whether an upstream answered. That one is silent says something
+// of it if another answers meanwhile, or if it alone was asked: where all of
+// several are silent it is this entry that is late or cut off, and sound
+// upstreams would be ejected for it. The lock must be held.
+func (q *inquiry) judge(a asked) {
+	if a.conn != nil {
+		q.heard++
+	} else {
+		q.mute = append(q.mute, a.upstream)
+	}
+	if q.heard == 0 && q.asked > 1 {
+		return
+	}
+	for _, u := range q.mute {
+		q.silent(u)
+	}
+	q.mute = nil
 }
 
 // deliver hands in an answer. Connections that come too late go back to their
@@ -48,6 +74,7 @@
 func (q *inquiry) deliver(a asked) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.judge(a)
 	if q.over {
 		q.giveBack(a)
 		return
@@ -114,7 +141,7 @@
 
 // inquire asks upstreams for their load and takes the best.
 func (x *exchange) inquire() (won asked) {
-	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, 2*askedAtOnce)}
+	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, 2*askedAtOnce), silent: x.silent}
 	var all []asked
 	for _, scope := range []placer.Scope{placer.Near, placer.Far} {
 		x.service.mu.Lock()
@@ -136,6 +163,9 @@
 // an answer can hardly be bettered, when all came, or when the others take too
 // long.
 func (x *exchange) collect(q *inquiry, list []*placer.Upstream, all []asked) []asked {
+	q.mu.Lock()
+	q.asked += len(list)
+	q.mu.Unlock()
 	for _, u := range list {
 		go func() { q.deliver(x.ask(u)) }()
 	}
@@ -216,6 +246,11 @@
 			pool.Drop(c)
 		}
 	}
+	return asked{upstream: u}
+}
+
+// silent takes in that an upstream did not answer a question for its load.
+func (x *exchange) silent(u *placer.Upstream) {
 	s := x.service
 	s.mu.Lock()
 	s.fleet.Silent(time.Now(), u)
@@ -224,7 +259,6 @@
 	if out {
 		x.forwarder.options.Log.Warn("upstream ejected", "upstream", u.ID(), "service", s.name, "cause", "no answer to a load query")
 	}
-	return asked{upstream: u}
 }
 
 // connLimit returns how many connections to one upstream this entry may have.
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -83,7 +83,9 @@
 	// runs counts how often each request ran.
 	runs map[string]int
 	// load is what upstreams say is running.
-	load    map[string]int
+	load map[string]int
+	// mute holds the upstreams that don't answer questions for their load.
+	mute    map[string]bool
 	closing []net.Conn
 }
 
@@ -145,8 +147,11 @@
 		}
 		if string(req.Header.RequestURI()) == "/health" {
 			w.mu.Lock()
-			load := w.load[addr]
+			load, mute := w.load[addr], w.mute[addr]
 			w.mu.Unlock()
+			if mute {
+				continue
+			}
 			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d\r\nContent-Length: 0\r\n\r\n", addr, load); err != nil {
 				return
 			}
