tracker: an entry that lost the store leaves it alone for up to two seconds

A failed read now doubles the time for which an entry that does not watch leaves the store alone, 0.25 to 2 s, over both kinds; meanwhile it asks two others, as before. Who watches by the membership tries as before.

Ruled out: asking others before the store (a silent peer would hold the read up by a second). Test seen failing: TestOutageCalls, 1,247 calls of 480.

--- a/tracker/fleet_test.go
+++ b/tracker/fleet_test.go
@@ -318,3 +318,38 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestOutageCalls turns all entries away for a while: they don't ask the store
+// more and more often than it can bear, and have a change in force in time after
+// its return.
+func TestOutageCalls(t *testing.T) {
+	const entries, outage = 60, 8
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := beginFleet(ctx, entries)
+		time.Sleep(6 * time.Second)
+		turn := func(away bool) {
+			f.shelf.mu.Lock()
+			defer f.shelf.mu.Unlock()
+			for _, m := range f.live {
+				f.shelf.away[m.Name] = away
+			}
+		}
+		turn(true)
+		before := f.shelf.count()
+		time.Sleep(outage * time.Second)
+		if got := f.shelf.count() - before; got > entries*outage {
+			t.Errorf("got: %d calls in %d s want: at most one a second and entry", got, outage)
+		}
+		want := int64(f.shelf.put())
+		turn(false)
+		time.Sleep(bound)
+		for _, m := range f.members() {
+			if got := f.version(m.Name); got != want {
+				t.Errorf("%s: got: version %d want: %d", m.Name, got, want)
+			}
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -62,7 +62,12 @@
 	// checkEvery is how often an entry looks at the age of its copy.
 	checkEvery = 100 * time.Millisecond
 	// backOff is the pause after a failed read, with as much again at random.
-	backOff = 250 * time.Millisecond
+	// Each further failure doubles the time for which an entry that need not
+	// watch leaves the store alone, up to backOffMost: what keeps one entry from
+	// the store mostly keeps them all, and the news of the first that reaches it
+	// again is asked of each other meanwhile.
+	backOff     = 250 * time.Millisecond
+	backOffMost = 2 * time.Second
 	// peersAsked is how many other entries are asked when the store can't be
 	// read.
 	peersAsked = 2
@@ -86,6 +91,10 @@
 	settle time.Duration
 
 	mu sync.Mutex
+	// failures counts reads in a row without an answer, and next is until when
+	// this entry leaves the store alone unless it is the one that watches.
+	failures int
+	next     time.Time
 	// blind holds entries that watched and lost the store, and until when they
 	// are passed over.
 	blind map[string]time.Time
@@ -114,13 +123,18 @@
 			err = t.list(ctx, k, true)
 		case watch:
 			err = t.watch(ctx, k, m.AsOf, untilBeat(time.Now()))
-		case min(m.Age, settled) > staleAge:
+		case min(m.Age, settled) > staleAge && t.mayRead(time.Now()):
 			err = t.watch(ctx, k, m.AsOf, time.Millisecond)
+		case min(m.Age, settled) > staleAge:
+			t.ask(ctx, k)
+			sleeper.Sleep(ctx, backOff+rand.N(backOff))
+			continue
 		default:
 			sleeper.Sleep(ctx, min(checkEvery, max(staleAge-min(m.Age, settled), 0)+time.Millisecond))
 			continue
 		}
 		t.note(k, err)
+		t.pace(time.Now(), err)
 		if err != nil {
 			if watch {
 				t.hide(map[string]time.Duration{t.self: blindTime})
@@ -148,6 +162,29 @@
 	blindTime = 5 * time.Second
 )
 
+// mayRead reports whether an entry that need not watch may read the store.
+func (t *Tracker) mayRead(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !now.Before(t.next)
+}
+
+// pace takes in how a read of the store ended.
+func (t *Tracker) pace(now time.Time, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		t.failures, t.next = 0, time.Time{}
+		return
+	}
+	pause := min(backOff<<min(t.failures, maxDoublings), backOffMost)
+	t.failures++
+	t.next = now.Add(pause/2 + rand.N(pause/2))
+}
+
+// maxDoublings keeps a pause within what a time.Duration holds.
+const maxDoublings = 10
+
 // plan returns this entry's part among those that can reach the store.
 func (t *Tracker) plan() Plan { return MakePlan(t.self, t.seeing(time.Now())) }
 
