placer: fewer upstreams are asked at once when few questions are left

A scratch copy that logs what is known at a refusal shows five upstreams of six slots with one to four requests, at their usual pace, and 0 to 0.9 questions left for each: three are asked for a request although one good answer serves it, so that the entry can place two requests a second by asking three times as many.

Fleet.Ask asks one or two when the questions left would not do for two requests. Ruled out: slots (most were free), ejection (none), slow phases (one of five).

--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -166,20 +166,36 @@
 // passed over, and those whose budget of questions is spent. When load exceeds
 // the slots, most questions would go to upstreams that are known to be full, and
 // those whose state is not known could not be asked any more: full ones are
-// passed over until the estimate leaves room for one more request.
+// passed over until the estimate leaves room for one more request. When few
+// questions are left, fewer are asked at once: one that is answered serves a
+// request, and requests that found none left would wait while slots are free.
 func (f *Fleet) Ask(dst []*Upstream, now time.Time, n int, scope Scope, skip func(*Upstream) bool) []*Upstream {
-	for _, c := range f.rank(now, skip) {
+	rate := f.Probes[scope]
+	ranked := f.rank(now, skip)
+	left := 0.0
+	ranked = slices.DeleteFunc(ranked, func(c candidate) bool {
+		near := c.upstream.spec.Domain == f.Domain
+		if near != (scope == Near) || !c.upstream.free(now) {
+			return true
+		}
+		left += c.upstream.left(now, rate)
+		return false
+	})
+	n = min(n, max(1, int(left/sparedFor)))
+	for _, c := range ranked {
 		if len(dst) == n {
 			break
 		}
-		near := c.upstream.spec.Domain == f.Domain
-		if near == (scope == Near) && c.upstream.free(now) && c.upstream.pay(now, f.Probes[scope]) {
+		if c.upstream.pay(now, rate) {
 			dst = append(dst, c.upstream)
 		}
 	}
 	return dst
 }
 
+// sparedFor is how many requests the questions that are left should do for.
+const sparedFor = 2
+
 // freshFor is the age up to which a report is as good as a question: it is a
 // small part of the time for which an upstream stays slow or a slot taken.
 const freshFor = 0 * time.Millisecond
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -163,12 +163,7 @@
 	if rate <= 0 {
 		return true
 	}
-	if u.asked.IsZero() {
-		u.credit = maxCredit
-	} else {
-		u.credit = min(maxCredit, u.credit+rate*now.Sub(u.asked).Seconds())
-	}
-	u.asked = now
+	u.credit, u.asked = u.left(now, rate), now
 	if u.credit < 1 {
 		return false
 	}
@@ -176,6 +171,14 @@
 	return true
 }
 
+// left returns how many questions are paid for by now.
+func (u *Upstream) left(now time.Time, rate float64) float64 {
+	if rate <= 0 || u.asked.IsZero() {
+		return maxCredit
+	}
+	return min(maxCredit, u.credit+rate*now.Sub(u.asked).Seconds())
+}
+
 // hear takes in a report.
 func (u *Upstream) hear(r Report) {
 	if r.At.Before(u.report.At) {
