placer, forwarder: a waiting request without questions left goes where slots were to spare

Such a request now goes to the upstream that looks best of those with two free slots when they last told, whatever the age of that, as long as by what was told at most half of all slots are taken.

Tried first: any upstream with one free slot by its last word.

--- a/forwarder/ask.go
+++ b/forwarder/ask.go
@@ -123,7 +123,7 @@
 		return x.connect(a)
 	}
 	s.mu.Unlock()
-	return x.inquire()
+	return x.inquire(waiting)
 }
 
 // connect finds a connection to an upstream that was taken without a question.
@@ -139,15 +139,17 @@
 	return asked{upstream: u, conn: c, attempt: a, err: err}
 }
 
-// inquire asks upstreams for their load and takes the best.
-func (x *exchange) inquire() (won asked) {
+// inquire asks upstreams for their load and takes the best. A request that waits
+// is sent without a question if none is left.
+func (x *exchange) inquire(waiting bool) (won asked) {
 	q := &inquiry{pool: x.forwarder.pool, answers: make(chan asked, 2*askedAtOnce), silent: x.silent}
 	var all []asked
+	questions := 0
 	for _, scope := range []placer.Scope{placer.Near, placer.Far} {
 		x.service.mu.Lock()
 		list := x.service.fleet.Ask(nil, time.Now(), askedAtOnce, scope, x.tried)
 		x.service.mu.Unlock()
-		if len(list) > 0 {
+		if questions += len(list); len(list) > 0 {
 			all = x.collect(q, list, all)
 		}
 		if won = x.take(all, scope == placer.Far); won.attempt != nil {
@@ -155,9 +157,27 @@
 		}
 	}
 	q.end(all, won.conn)
+	if won.attempt == nil && questions == 0 && waiting {
+		return x.guess()
+	}
 	return won
 }
 
+// guess takes an upstream without a question.
+func (x *exchange) guess() asked {
+	s := x.service
+	s.mu.Lock()
+	now := time.Now()
+	u := s.fleet.Guess(now, x.tried)
+	if u == nil {
+		s.mu.Unlock()
+		return asked{}
+	}
+	a := s.fleet.Start(now, u)
+	s.mu.Unlock()
+	return x.connect(a)
+}
+
 // collect asks the upstreams of the list at once and appends their answers to
 // all, those of earlier questions that come late among them. It returns when
 // an answer can hardly be bettered, when all came, or when the others take too
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -196,6 +196,33 @@
 // sparedFor is how many requests the questions that are left should do for.
 const sparedFor = 2
 
+// Guess returns the upstream to send to without a question, for a request that
+// waits while none is left: the one that looks best of those that had slots to
+// spare when they last told, whatever the age of that, and are not known to be
+// slow. It returns nil if there is none, or if by what was last told most slots
+// are taken: the rest may have been taken since.
+func (f *Fleet) Guess(now time.Time, skip func(*Upstream) bool) *Upstream {
+	slots, taken := 0, 0
+	for _, u := range f.list {
+		if u.Usable(now) {
+			slots, taken = slots+u.Slots(), taken+u.told()
+		}
+	}
+	if float64(taken) > guessShare*float64(slots) {
+		return nil
+	}
+	for _, c := range f.rank(now, skip) {
+		if u := c.upstream; u.told()+1 < u.Slots() && u.slowness(now) <= idealSlowness {
+			return u
+		}
+	}
+	return nil
+}
+
+// guessShare is the part of all slots up to which taken ones leave a guess
+// likely to find a free one.
+const guessShare = 0.5
+
 // freshFor is the age up to which a report is as good as a question: it is a
 // small part of the time for which an upstream stays slow or a slot taken.
 const freshFor = 0 * time.Millisecond
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -79,6 +79,8 @@
 			return best.ID() + " not enough"
 		}
 		return best.ID()
+	case "guess":
+		return names(known(f.Guess(p.now, nil)))
 	case "fresh":
 		return names(known(f.Fresh(p.now, len(args) > 1, nil)))
 	case "start":
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -138,6 +138,15 @@
 	return float64(u.own) + max(0, left)*float64(others)
 }
 
+// told returns how many requests of all entries the upstream has if those of
+// others are as many as it last told. One that told nothing counts as full.
+func (u *Upstream) told() int {
+	if u.report.At.IsZero() {
+		return max(u.own, u.Slots())
+	}
+	return u.own + max(0, u.report.Running+u.report.Waiting-u.ownThen)
+}
+
 // slowness estimates how long work takes compared with the usual.
 func (u *Upstream) slowness(now time.Time) float64 {
 	s := 1.0
