--- a/parser/gateway_test.go
+++ b/parser/gateway_test.go
@@ -34,6 +34,9 @@
 		{"gateway.window", sound + `,"window":"1ms"`},
 		{"gateway.drain", sound + `,"drain":"0s"`},
 		{"gateway.memory", sound + `,"memory":-1`},
+		{"gateway.cores", sound + `,"cores":-0.5`},
+		{"gateway.link", sound + `,"link":"fast"`},
+		{"gateway.first", sound + `,"first":"yes"`},
 		{"gateway.other", sound + `,"other":1`},
 	} {
 		_, err := ParseProcess("f", []byte(strings.Replace(settings, "MORE", v.more, 1)))
