runner, resolver: the demand of a failure domain outlives the entries that carried it

When the strong entries of a failure domain stop or die, their load leaves the membership with them: two weak ones take their place, and others are added one by one as their heartbeats tell of what they can't carry. The census keeps the demand of each failure domain, halving in 4 s, so that as many take over as it needs.

Ruled out: counting the load of leaving members (dead ones tell nothing).

--- a/resolver/carry.go
+++ b/resolver/carry.go
@@ -9,14 +9,14 @@
 
 // Carry returns the entries of one failure domain that carry a service: the
 // most powerful ones, by rendezvous hashing among equals, at least least of
-// them, and more until together they can carry what the whole domain gets.
+// them, and more until together they can carry demand, in requests a second.
 //
 // Few entries see nearly all that a service does, so that what they know of its
 // upstreams is nearly the truth; but entries of a deployment may differ several
 // times in power, and a weak one that carries what is meant for a strong one
 // answers late, asks late and takes sound upstreams for silent. An entry whose
 // power is untold can carry anything. The result is a new slice.
-func Carry(service string, members []announcer.Member, least int) []announcer.Member {
+func Carry(service string, members []announcer.Member, demand float64, least int) []announcer.Member {
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b announcer.Member) int {
 		return cmp.Or(
@@ -25,10 +25,6 @@
 			cmp.Compare(a.Name, b.Name),
 		)
 	})
-	demand := 0.0
-	for _, m := range ranked {
-		demand += m.Load
-	}
 	power := 0.0
 	for i, m := range ranked {
 		if m.Power == 0 {
--- a/runner/census.go
+++ b/runner/census.go
@@ -45,9 +45,13 @@
 
 // census is the entries that serve callers, as of one moment.
 type census struct {
-	until    time.Time
+	at       time.Time
 	all      []announcer.Member
 	byDomain map[string][]announcer.Member
+	// demand is the requests a second that each failure domain gets. It falls
+	// slowly: what entries that are gone carried comes to others at once, which
+	// tell of it only in their next heartbeats.
+	demand map[string]float64
 	// questions is the part of all questions for the load of an upstream that
 	// self may ask.
 	questions [placer.Scopes]float64
@@ -60,15 +64,30 @@
 // post is the carrying of a service in a failure domain.
 type post struct{ service, domain string }
 
-// newCensus takes a census for the entry named self.
-func newCensus(now time.Time, self string, live []announcer.Member) *census {
-	c := &census{until: now.Add(censusLife), byDomain: make(map[string][]announcer.Member), carriers: make(map[post][]announcer.Member)}
+// demandHalf is the time in which the demand of a failure domain halves whose
+// entries tell of no load.
+const demandHalf = 4 * time.Second
+
+// newCensus takes a census for the entry named self. Before is the last one, nil
+// if there is none.
+func newCensus(now time.Time, self string, live []announcer.Member, before *census) *census {
+	c := &census{
+		at: now, byDomain: make(map[string][]announcer.Member), demand: make(map[string]float64),
+		carriers: make(map[post][]announcer.Member),
+	}
 	for _, m := range live {
 		if m.Ready {
 			c.byDomain[m.Domain] = append(c.byDomain[m.Domain], m)
+			c.demand[m.Domain] += m.Load
 			c.all = append(c.all, m)
 		}
 	}
+	if before != nil {
+		kept := math.Exp2(-float64(now.Sub(before.at)) / float64(demandHalf))
+		for d, n := range before.demand {
+			c.demand[d] = max(c.demand[d], kept*n)
+		}
+	}
 	var own announcer.Member
 	for _, m := range live {
 		if m.Name == self {
@@ -87,7 +106,7 @@
 	p := post{service, domain}
 	list, ok := c.carriers[p]
 	if !ok {
-		list = resolver.Carry(service, c.byDomain[domain], perDomain)
+		list = resolver.Carry(service, c.byDomain[domain], c.demand[domain], perDomain)
 		c.carriers[p] = list
 	}
 	return list
@@ -97,8 +116,8 @@
 func (g *Gateway) census() *census {
 	now := time.Now()
 	c := g.counted.Load()
-	if c == nil || now.After(c.until) {
-		c = newCensus(now, g.process.Name(), g.table.Live(now))
+	if c == nil || now.Sub(c.at) > censusLife {
+		c = newCensus(now, g.process.Name(), g.table.Live(now), c)
 		g.counted.Store(c)
 	}
 	return c
--- a/runner/census_test.go
+++ b/runner/census_test.go
@@ -18,7 +18,7 @@
 		{Name: "a4", Domain: "a", Power: 240},
 		{Name: "b1", Domain: "b", Power: 48, Ready: true},
 	}
-	c := newCensus(now, "a1", live)
+	c := newCensus(now, "a1", live, nil)
 	if len(c.all) != 4 {
 		t.Errorf("got: %d entries want: 4", len(c.all))
 	}
@@ -27,7 +27,7 @@
 		t.Errorf("got: %+v want: all three that serve, a3 first", got)
 	}
 	live[1].Load = 0
-	if got := newCensus(now, "a1", live).in("s", "a"); len(got) != perDomain || got[0].Name != "a3" {
+	if got := newCensus(now, "a1", live, nil).in("s", "a"); len(got) != perDomain || got[0].Name != "a3" {
 		t.Errorf("got: %+v want: %d, a3 first", got, perDomain)
 	}
 	if got := c.in("s", "z"); len(got) != 0 {
@@ -35,6 +35,33 @@
 	}
 }
 
+// TestCensusRemembers loses the strong entry that carried most: weak ones take
+// its place at once, as many as it takes, and fewer as the demand turns out to be
+// gone.
+func TestCensusRemembers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	live := []announcer.Member{{Name: "strong", Domain: "a", Power: 240, Ready: true, Load: 200}}
+	for _, name := range []string{"w1", "w2", "w3", "w4", "w5", "w6"} {
+		live = append(live, announcer.Member{Name: name, Domain: "a", Power: 48, Ready: true})
+	}
+	c := newCensus(now, "w1", live, nil)
+	if got := len(c.in("s", "a")); got != perDomain {
+		t.Fatalf("got: %d carriers want: %d", got, perDomain)
+	}
+	now = now.Add(censusLife)
+	c = newCensus(now, "w1", live[1:], c)
+	if got := len(c.in("s", "a")); got < 4 {
+		t.Errorf("got: %d weak carriers for what a strong one had want: 4 at least", got)
+	}
+	for range 100 {
+		now = now.Add(censusLife)
+		c = newCensus(now, "w1", live[1:], c)
+	}
+	if got := len(c.in("s", "a")); got != perDomain {
+		t.Errorf("got: %d carriers of nothing want: %d", got, perDomain)
+	}
+}
+
 // TestPower takes the scarcer of processor and link, and nothing that is untold.
 func TestPower(t *testing.T) {
 	for _, v := range []struct{ cores, link, want float64 }{
