runner: callers of a failure domain with too few entries get those of others too

Found on reading the change: since entries carry by their power, callers of a failure domain with one entry left were given that address alone, where they had two before, and had none when it died; nor was one with too little power helped by the others. The census answers with the carriers of the other failure domains as well then.

--- a/runner/census.go
+++ b/runner/census.go
@@ -132,21 +132,37 @@
 	return list
 }
 
-// resolve returns the entries that callers of a host in a failure domain are
-// to use, and for how long: those of their own failure domain, or if there are
-// none, those that carry the service in the others.
+// answer returns the entries that callers of a service in a failure domain are to
+// use: those that carry it there, and those of the other failure domains too if
+// there are not enough of them, or if together they can't carry the demand.
+func (c *census) answer(service, domain string) []announcer.Member {
+	near := c.in(service, domain)
+	power, told := 0.0, true
+	for _, m := range near {
+		power += m.Power
+		told = told && m.Power > 0
+	}
+	if len(near) >= perDomain && (!told || power >= c.demand[domain]) {
+		return near
+	}
+	list := slices.Clone(near)
+	for _, m := range c.carry(service) {
+		if m.Domain != domain {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// resolve returns the entries that callers of a host in a failure domain are to
+// use, and for how long.
 func (g *Gateway) resolve(host, domain string) ([]string, time.Duration) {
 	service := ""
 	if t := g.forwarder.Table(); t != nil {
 		service = t.Host(host)
 	}
-	c := g.census()
-	list := c.in(service, domain)
-	if len(list) == 0 {
-		list = c.carry(service)
-	}
-	out := make([]string, 0, len(list))
-	for _, m := range list {
+	var out []string
+	for _, m := range g.census().answer(service, domain) {
 		out = append(out, m.Callers)
 	}
 	return out, g.process.TTL()
--- a/runner/census_test.go
+++ b/runner/census_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// TestCensusAnswer answers the callers of a failure domain that has too few
+// entries, too weak ones or none: with those of the others too.
+func TestCensusAnswer(t *testing.T) {
+	member := func(name, domain string, load float64) announcer.Member {
+		return announcer.Member{Name: name, Domain: domain, Power: 48, Load: load, Ready: true}
+	}
+	for _, v := range []struct {
+		name string
+		live []announcer.Member
+		want int
+	}{
+		{"enough", []announcer.Member{member("a1", "a", 40), member("a2", "a", 40), member("b1", "b", 0), member("b2", "b", 0)}, 2},
+		{"one", []announcer.Member{member("a1", "a", 0), member("b1", "b", 0), member("b2", "b", 0)}, 3},
+		{"too weak", []announcer.Member{member("a1", "a", 90), member("a2", "a", 90), member("b1", "b", 0), member("b2", "b", 0)}, 4},
+		{"none", []announcer.Member{member("b1", "b", 0), member("c1", "c", 0)}, 2},
+	} {
+		c := newCensus(time.Unix(1000, 0), "a1", v.live, nil)
+		if got := c.answer("s", "a"); len(got) != v.want {
+			t.Errorf("%s: got: %+v want: %d entries", v.name, got, v.want)
+		}
+	}
+}
+
 // TestPower takes the scarcer of processor and link, and nothing that is untold.
 func TestPower(t *testing.T) {
 	for _, v := range []struct{ cores, link, want float64 }{
