runner: an entry that is ready answers callers at once

A count of the membership that found nobody was kept for 200 ms, and the entry's own readiness came by its heartbeat. A count that found nobody is not kept any more, and an entry takes its own readiness from itself. TestReadyIsAnswered asks all the while and fails each time without the change.

--- a/runner/census.go
+++ b/runner/census.go
@@ -112,14 +112,22 @@
 	return list
 }
 
-// census returns the census of now.
+// census returns the census of now. One that found nobody is not kept: this
+// entry may serve from one moment to the next, and callers are then to hear of it.
 func (g *Gateway) census() *census {
 	now := time.Now()
 	c := g.counted.Load()
-	if c == nil || now.Sub(c.at) > censusLife {
-		c = newCensus(now, g.process.Name(), g.table.Live(now), c)
-		g.counted.Store(c)
+	if c != nil && len(c.all) > 0 && now.Sub(c.at) <= censusLife {
+		return c
 	}
+	live := g.table.Live(now)
+	for i := range live {
+		if live[i].Name == g.process.Name() {
+			live[i].Ready = g.ready()
+		}
+	}
+	c = newCensus(now, g.process.Name(), live, c)
+	g.counted.Store(c)
 	return c
 }
 
--- a/runner/gateway_test.go
+++ b/runner/gateway_test.go
@@ -79,6 +79,17 @@
 
 // run starts a gateway and waits until it is ready.
 func (s *site) run(text string) *running {
+	r := s.begin(text)
+	for begun := time.Now(); !r.ready(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(begun) > 10*time.Second {
+			s.t.Fatal("got: not ready in 10 s want: ready")
+		}
+	}
+	return r
+}
+
+// begin starts a gateway.
+func (s *site) begin(text string) *running {
 	p, err := parser.ParseProcess("test", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
@@ -90,12 +101,29 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{Gateway: g, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- g.Run(ctx) }()
-	for begun := time.Now(); !g.ready(); time.Sleep(10 * time.Millisecond) {
+	return r
+}
+
+// TestReadyIsAnswered asks an entry for entries all the while until it is ready:
+// from then on the answer has it.
+func TestReadyIsAnswered(t *testing.T) {
+	s := newSite(t, time.Millisecond)
+	g := s.begin(s.settings("e1", "1s"))
+	for begun := time.Now(); !g.ready(); {
+		if list, _ := g.resolve("h.example", "a"); len(list) > 0 && !g.ready() {
+			t.Errorf("got: %v of an entry that is not ready want: nobody", list)
+		}
 		if time.Since(begun) > 10*time.Second {
-			s.t.Fatal("got: not ready in 10 s want: ready")
+			t.Fatal("got: not ready in 10 s want: ready")
 		}
 	}
-	return r
+	if list, _ := g.resolve("h.example", "a"); len(list) != 1 {
+		t.Errorf("got: %v want: the entry", list)
+	}
+	g.stop()
+	if err := <-g.done; err != nil {
+		t.Error(err)
+	}
 }
 
 // ask sends one request on a connection and returns the status.
