pipeliner: pipelined idempotent requests run concurrently

Cause: the server read a request only after it had answered the one before.

Ruled out: fasthttp's own server with any of its options; a splitter before it, which would parse each request twice; closing the connection behind a slow response.

Change: package pipeliner serves callers' connections with fasthttp's codecs. Idempotent requests of a connection run side by side, responses keep the order, a request that must not run twice runs alone. Clocks begin with the arrival. Bounds on requests and bytes; a disconnect ends a context, which replaces the polling of each attempt. A planned stop waits for written responses, not for handled requests, and a connection that closes lingers, so that unread bytes do not reset it. A request that stalls is answered 408; a handler that panics 502.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -1,42 +1,44 @@
 package forwarder
 
 import (
-	"bytes"
+	"context"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"poplarwind/internal/inspector"
 	"poplarwind/limiter"
+	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/router"
 )
 
 // Errors that end a request without an upstream response.
 const (
-	errConflictingLengths = errors.ConstError("Content-Length and Transfer-Encoding conflict")
-	errDraining           = errors.ConstError("entry is leaving")
-	errNoConfig           = errors.ConstError("no configuration is known yet")
-	errNoRoute            = errors.ConstError("no route matches")
-	errBodyTooLarge       = errors.ConstError("body is larger than the configuration allows")
-	errNoSlot             = errors.ConstError("no upstream has a slot in time")
-	errNoUpstream         = errors.ConstError("service has no upstream")
-	errDisconnected       = errors.ConstError("caller left")
-	errTimeout            = errors.ConstError("time limit passed")
-	errNoRetry            = errors.ConstError("not run, and no retry is left")
-	errIncomplete         = errors.ConstError("upstream gave no whole answer")
+	errDraining     = errors.ConstError("entry is leaving")
+	errNoConfig     = errors.ConstError("no configuration is known yet")
+	errNoRoute      = errors.ConstError("no route matches")
+	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
+	errNoSlot       = errors.ConstError("no upstream has a slot in time")
+	errNoUpstream   = errors.ConstError("service has no upstream")
+	errDisconnected = errors.ConstError("caller left")
+	errTimeout      = errors.ConstError("time limit passed")
+	errNoRetry      = errors.ConstError("not run, and no retry is left")
+	errIncomplete   = errors.ConstError("upstream gave no whole answer")
 )
 
 // exchange is the state of one request from arrival to response.
 type exchange struct {
 	forwarder *Forwarder
 	service   *service
-	ctx       *fasthttp.RequestCtx
-	id        []byte
-	route     *router.ActiveRoute
-	version   int64
+	call      *pipeliner.Call
+	// caller ends when the caller has disconnected.
+	caller context.Context
+	// id is valid until the call's response is written.
+	id      []byte
+	route   *router.ActiveRoute
+	version int64
 	// serviceTime is the average service time of the route's requests, guarded
 	// by the service's lock.
 	serviceTime *placer.ServiceTime
@@ -45,7 +47,7 @@
 	// due is when the route's latency objective expires, at the latest the
 	// deadline. deadline is when the shorter of the caller's and the route's
 	// timeouts expires.
-	arrivedAt, due, deadline time.Time
+	due, deadline time.Time
 	// dequeued receives a value when the request is removed from the admission
 	// queue to be placed.
 	dequeued chan struct{}
@@ -67,12 +69,13 @@
 const defaultTimeout = 10 * time.Second
 
 // setDeadlines sets due and deadline from the timeouts of the caller and the
-// route.
-func (x *exchange) setDeadlines(now time.Time) {
-	timeout, ok := x.forwarder.options.Dialect.CallerTimeout(&x.ctx.Request.Header)
+// route, which begin with the arrival of the request.
+func (x *exchange) setDeadlines() {
+	timeout, ok := x.forwarder.options.Dialect.CallerTimeout(&x.call.Request.Header)
 	if !ok {
 		timeout = defaultTimeout
 	}
+	now := x.call.ArrivedAt
 	x.deadline = now.Add(min(timeout, x.route.Timeout))
 	x.due = now.Add(x.route.Objective)
 	if x.due.After(x.deadline) || x.route.Objective == 0 {
@@ -126,7 +129,7 @@
 	if x.mayHaveRun && !x.route.Idempotent {
 		return errIncomplete
 	}
-	if o.disconnected || inspector.Inspect(x.ctx.Conn()) == inspector.Closed {
+	if o.disconnected || x.caller.Err() != nil {
 		return errDisconnected
 	}
 	if len(x.attempted) >= x.route.Attempts {
@@ -216,9 +219,9 @@
 	}
 }
 
-// disconnectCheckInterval is how often a request that is queued or running
-// checks whether its caller is still connected.
-const disconnectCheckInterval = 100 * time.Millisecond
+// deadlineCheckInterval is how often a queued request checks whether it can still
+// meet its deadline.
+const deadlineCheckInterval = 100 * time.Millisecond
 
 // awaitDequeue queues the request until it is dequeued to be placed. It
 // returns an error if the request is expected to miss its deadline or its
@@ -237,20 +240,22 @@
 	s.queue.Push(x, p)
 	s.scheduleDispatch()
 	s.mu.Unlock()
-	timer := time.NewTimer(disconnectCheckInterval)
+	timer := time.NewTimer(deadlineCheckInterval)
 	defer timer.Stop()
+	disconnected := x.caller.Done()
 	for {
 		var err error
 		select {
 		case <-x.dequeued:
-			x.queueTime = time.Since(x.arrivedAt)
+			x.queueTime = time.Since(x.call.ArrivedAt)
 			return nil
+		case <-disconnected:
+			// A request that was dequeued meanwhile is received above.
+			disconnected, err = nil, errDisconnected
 		case now := <-timer.C:
-			timer.Reset(disconnectCheckInterval)
+			timer.Reset(deadlineCheckInterval)
 			if x.cannotMeetDeadline(now) {
 				err = errNoSlot
-			} else if inspector.Inspect(x.ctx.Conn()) == inspector.Closed {
-				err = errDisconnected
 			}
 		}
 		if err != nil && x.withdraw(wait) {
@@ -281,21 +286,3 @@
 // minRetryAfter is the least Retry-After value of a rejection. A shorter one
 // would expire before the requests that hold the slots complete.
 const minRetryAfter = 50 * time.Millisecond
-
-// hasConflictingLengths reports whether raw headers specify the length of the
-// body more than once. Entries and upstreams might interpret such headers
-// differently.
-func hasConflictingLengths(raw []byte) bool {
-	lengths, encodings := 0, 0
-	for line := range bytes.Lines(raw) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		name = bytes.TrimSpace(name)
-		if bytes.EqualFold(name, []byte("Content-Length")) {
-			lengths++
-		}
-		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-			encodings++
-		}
-	}
-	return lengths+encodings > 1
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -8,8 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
+	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/pooler"
 	"poplarwind/router"
@@ -84,8 +83,6 @@
 	arrived atomic.Int64
 	// running counts requests that were received and not yet answered.
 	running atomic.Int64
-	// draining reports whether responses close the caller's connection.
-	draining atomic.Bool
 	// closed reports whether new requests are rejected.
 	closed atomic.Bool
 
@@ -126,10 +123,6 @@
 // Arrived returns the number of requests received since the start.
 func (f *Forwarder) Arrived() int64 { return f.arrived.Load() }
 
-// Drain makes responses close the caller's connection, so that callers open
-// their next connection to another entry.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
-
 // RejectNew rejects new requests. The response states that they did not run, so
 // that callers can retry at once at another entry.
 func (f *Forwarder) RejectNew() { f.closed.Store(true) }
@@ -176,40 +169,43 @@
 	return s
 }
 
-// Handle serves one request of a caller.
-func (f *Forwarder) Handle(ctx *fasthttp.RequestCtx) {
+// Concurrent implements pipeliner.Handler: idempotent requests run concurrently.
+func (f *Forwarder) Concurrent(c *pipeliner.Call) bool {
+	t := f.table.Load()
+	if t == nil {
+		return false
+	}
+	route := t.Find(string(c.Request.Host()), string(c.Request.Header.RequestURI()))
+	return route != nil && route.Idempotent
+}
+
+// Handle implements pipeliner.Handler: it serves one request of a caller.
+func (f *Forwarder) Handle(ctx context.Context, c *pipeliner.Call) {
 	f.arrived.Add(1)
 	f.running.Add(1)
 	defer f.running.Add(-1)
-	x, err := f.admit(ctx, time.Now())
+	x, err := f.admit(ctx, c)
 	res := result{err: err}
 	if err == nil {
 		res = x.run()
 	}
 	x.respond(res)
-	if f.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	if f.options.OnComplete != nil {
 		f.options.OnComplete(x.record(res))
 	}
 }
 
 // admit validates a request and determines its route, deadline and service.
-func (f *Forwarder) admit(ctx *fasthttp.RequestCtx, now time.Time) (*exchange, error) {
-	x := &exchange{forwarder: f, ctx: ctx, arrivedAt: now, id: f.options.Dialect.ID(&ctx.Request.Header), dequeued: make(chan struct{}, 1)}
+func (f *Forwarder) admit(ctx context.Context, c *pipeliner.Call) (*exchange, error) {
+	x := &exchange{forwarder: f, call: c, caller: ctx, id: f.options.Dialect.ID(&c.Request.Header), dequeued: make(chan struct{}, 1)}
 	if f.closed.Load() {
 		return x, errDraining
 	}
-	if hasConflictingLengths(ctx.Request.Header.RawHeaders()) {
-		ctx.SetConnectionClose()
-		return x, errConflictingLengths
-	}
 	t := f.table.Load()
 	if t == nil {
 		return x, errNoConfig
 	}
-	host, uri := string(ctx.Host()), string(ctx.Request.Header.RequestURI())
+	host, uri := string(c.Request.Host()), string(c.Request.Header.RequestURI())
 	x.route = t.Find(host, uri)
 	if x.route == nil && f.options.Refresh != nil {
 		refreshCtx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
@@ -222,16 +218,16 @@
 	if x.route == nil {
 		return x, errNoRoute
 	}
-	if limit := t.Limits().Body; limit > 0 && len(ctx.Request.Body()) > limit {
+	if limit := t.Limits().Body; limit > 0 && len(c.Request.Body()) > limit {
 		return x, errBodyTooLarge
 	}
-	x.setDeadlines(now)
+	x.setDeadlines()
 	name := x.route.NextService()
 	x.service = f.service(name)
 	if svc := t.Service(name); svc != nil {
 		x.healthURI, x.maxConns = svc.HealthPath, svc.MaxConns
 	}
-	x.serviceTime = x.service.admit(f.options, x.route.Name, now)
+	x.serviceTime = x.service.admit(f.options, x.route.Name, time.Now())
 	return x, nil
 }
 
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -19,7 +19,6 @@
 	cause  error
 	status int
 }{
-	{errConflictingLengths, fasthttp.StatusBadRequest},
 	{errNoRoute, fasthttp.StatusNotFound},
 	{errBodyTooLarge, fasthttp.StatusRequestEntityTooLarge},
 }
@@ -42,22 +41,18 @@
 	return fasthttp.StatusServiceUnavailable
 }
 
-// respond writes the response to the caller.
+// respond sets the response to the caller.
 func (x *exchange) respond(res result) {
 	if res.resp != nil {
-		copyResponse(x.ctx, res.resp)
+		x.useResponse(res.resp)
 		return
 	}
 	status := x.status(res.err)
-	closing := x.ctx.Response.ConnectionClose()
-	x.ctx.Response.Reset()
-	if closing {
-		x.ctx.SetConnectionClose()
-	}
-	x.ctx.SetStatusCode(status)
+	resp := x.call.Response
+	resp.SetStatusCode(status)
 	if status == fasthttp.StatusServiceUnavailable {
 		retryAfter := max(x.retryAfter, minRetryAfter)
-		x.ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		resp.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(struct {
 		Error string `json:"error"`
@@ -65,19 +60,17 @@
 	if err != nil {
 		body = nil
 	}
-	x.ctx.SetContentType("application/json")
-	x.ctx.SetBody(body)
+	resp.Header.SetContentType("application/json")
+	resp.SetBody(body)
 }
 
-// copyResponse moves an upstream's response without its hop-by-hop headers into
-// the response to the caller, and releases it.
-func copyResponse(ctx *fasthttp.RequestCtx, resp *fasthttp.Response) {
+// useResponse makes an upstream's response, without its hop-by-hop headers, the
+// response to the caller.
+func (x *exchange) useResponse(resp *fasthttp.Response) {
 	sanitizer.StripHopByHop(&resp.Header)
 	resp.Header.ResetConnectionClose()
-	resp.Header.CopyTo(&ctx.Response.Header)
-	ctx.Response.SkipBody = resp.SkipBody
-	ctx.Response.SwapBody(resp.SwapBody(nil))
-	fasthttp.ReleaseResponse(resp)
+	fasthttp.ReleaseResponse(x.call.Response)
+	x.call.Response = resp
 }
 
 // Record is the outcome of a request.
@@ -127,7 +120,7 @@
 
 func (x *exchange) record(res result) *Record {
 	now := time.Now()
-	r := &Record{ID: string(x.id), Status: x.ctx.Response.StatusCode(), Version: x.version, QueueTime: x.queueTime, Duration: now.Sub(x.arrivedAt)}
+	r := &Record{ID: string(x.id), Status: x.call.Response.StatusCode(), Version: x.version, QueueTime: x.queueTime, Duration: now.Sub(x.call.ArrivedAt)}
 	if res.err != nil {
 		r.Cause = res.err.Error()
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -9,7 +10,6 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"poplarwind/internal/inspector"
 	"poplarwind/internal/sanitizer"
 	"poplarwind/placer"
 	"poplarwind/pooler"
@@ -74,12 +74,12 @@
 	f := x.forwarder
 	c.Reset()
 	c.SetDeadline(x.deadline)
-	w := x.watchCaller(c)
+	stop := x.abortOnDisconnect(c)
 	o.err = x.writeRequest(c, u)
 	if o.err == nil {
 		o.resp, o.err = x.readResponse(c)
 	}
-	o.disconnected = w.stop()
+	o.disconnected = !stop()
 	o.sent = c.Written()
 	if o.resp == nil {
 		f.pool.Discard(c)
@@ -88,7 +88,7 @@
 	info := f.options.Dialect.ParseResponse(&o.resp.Header, time.Now())
 	o.notRun = info.NotRun
 	x.applyResponseInfo(u, info)
-	early := len(x.ctx.Request.Body()) > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
+	early := len(x.call.Request.Body()) > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
 	if o.disconnected || early || o.resp.ConnectionClose() || !c.Clean() {
 		f.pool.Discard(c)
 		return
@@ -120,12 +120,12 @@
 func (x *exchange) writeRequest(c *pooler.Conn, u *placer.Upstream) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	x.ctx.Request.Header.CopyTo(&req.Header)
+	x.call.Request.Header.CopyTo(&req.Header)
 	sanitizer.StripHopByHop(&req.Header)
 	req.Header.ResetConnectionClose()
 	req.UseHostHeader = true
 	x.forwarder.options.Dialect.SetTarget(&req.Header, u.ID(), time.Until(x.deadline))
-	req.SetBodyRaw(x.ctx.Request.Body())
+	req.SetBodyRaw(x.call.Request.Body())
 	return c.Send(req)
 }
 
@@ -139,7 +139,7 @@
 	resp := fasthttp.AcquireResponse()
 	for range maxResponses {
 		resp.Reset()
-		if err := c.ReceiveUntilClose(resp, x.ctx.IsHead(), x.forwarder.options.MaxResponseBody); err != nil {
+		if err := c.ReceiveUntilClose(resp, x.call.Request.Header.IsHead(), x.forwarder.options.MaxResponseBody); err != nil {
 			fasthttp.ReleaseResponse(resp)
 			return nil, err
 		}
@@ -167,44 +167,15 @@
 	return len(info.ID) > 0 && (!success || info.Stamped) && len(resp.Header.Peek("Content-Encoding")) == 0
 }
 
-// disconnectWatcher periodically checks whether the caller is still connected.
-type disconnectWatcher struct {
-	done         chan struct{}
-	disconnected chan bool
-}
-
-// watchCaller aborts the attempt when the caller disconnects. A non-idempotent
-// request continues, because its caller may obtain the outcome by other means.
-func (x *exchange) watchCaller(c *pooler.Conn) disconnectWatcher {
-	w := disconnectWatcher{done: make(chan struct{}), disconnected: make(chan bool, 1)}
+// abortOnDisconnect aborts the attempt when the caller disconnects. A
+// non-idempotent request continues, because its caller may obtain the outcome by
+// other means. The function that it returns ends this and reports false if the
+// caller disconnected.
+func (x *exchange) abortOnDisconnect(c *pooler.Conn) func() bool {
 	if !x.route.Idempotent {
-		w.disconnected <- false
-		return w
+		return func() bool { return true }
 	}
-	go func() {
-		t := time.NewTicker(disconnectCheckInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-w.done:
-				w.disconnected <- false
-				return
-			case <-t.C:
-				if inspector.Inspect(x.ctx.Conn()) == inspector.Closed {
-					c.Abort()
-					w.disconnected <- true
-					return
-				}
-			}
-		}
-	}()
-	return w
-}
-
-// stop stops the watcher and reports whether the caller disconnected.
-func (w disconnectWatcher) stop() bool {
-	close(w.done)
-	return <-w.disconnected
+	return context.AfterFunc(x.caller, c.Abort)
 }
 
 // keepAliveMargin is subtracted from the time for which an upstream keeps idle
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/router"
 )
@@ -264,10 +265,7 @@
 	req.Header.SetHost("h")
 	req.Header.Set("Id", id)
 	req.Header.Set("Wait", "1500ms")
-	var c fasthttp.RequestCtx
-	c.Init(&req, nil, nil)
-	f.Handle(&c)
-	var out fasthttp.Response
-	c.Response.CopyTo(&out)
-	return &out
+	c := pipeliner.Call{Request: &req, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
+	f.Handle(context.Background(), &c)
+	return c.Response
 }
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection.
@@ -46,3 +48,25 @@
 	}
 	return state
 }
+
+// Disconnected reports whether the peer closed or reset a TCP connection, even
+// behind data that has not been read.
+func Disconnected(c net.Conn) bool {
+	switch Inspect(c) {
+	case Closed:
+		return true
+	case Idle:
+		return false
+	}
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	hungUp := true
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		hungUp = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || hungUp
+}
--- /dev/null
+++ b/pipeliner/conn.go
@@ -0,0 +1,416 @@
+package pipeliner
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/inspector"
+)
+
+const (
+	// maxPending bounds the requests of one connection that have been read and
+	// not answered. Further ones stay unread.
+	maxPending = 16
+	// maxPendingBytes is the size in bytes of the pending bodies of one
+	// connection above which no further request is read or started. Large
+	// responses that wait for an earlier one would otherwise use up the memory.
+	maxPendingBytes = 1 << 20
+	// transferTimeout bounds the transfer of one request or response.
+	transferTimeout = 10 * time.Second
+	// disconnectCheckInterval is how often a connection whose next bytes stay
+	// unread is checked for the end of the caller.
+	disconnectCheckInterval = 100 * time.Millisecond
+	// lingerTimeout and lingerBytes bound the reading of what a caller sends
+	// behind the last request. Closing a connection with unread bytes would
+	// reset it, and the caller could lose the last response.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 256 << 10
+)
+
+// conn is a connection of a caller. One goroutine reads requests, and each call
+// has one of its own, of which the one that completes the first pending call
+// writes its response and those of the calls behind it that are done.
+type conn struct {
+	server *Server
+	net    net.Conn
+	// ctx ends when the caller has disconnected.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// changed receives a value when calls were answered, for the reader.
+	changed chan struct{}
+
+	mu sync.Mutex
+	// pending holds the calls that have not been answered, in the order of the
+	// requests. The first started of them have been started. If a call that is
+	// not concurrent was started, it is the only one.
+	pending []*pendingCall
+	started int
+	// bytes is the sum of the sizes of the pending calls.
+	bytes int
+	// awaiting is set while the reader waits for the first byte of a request.
+	awaiting bool
+	// writing is set while a goroutine writes responses.
+	writing bool
+	// closing is set when no further request is accepted, and broken when
+	// responses can't be delivered any more.
+	closing, broken bool
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.server.remove(c)
+	defer c.cancel()
+	var r *bufio.Reader
+	for c.awaitRoom() {
+		if r == nil {
+			var err error
+			if r, err = c.awaitRequest(); err != nil {
+				c.abort()
+				return
+			}
+			if r == nil {
+				break
+			}
+		}
+		p := newPendingCall()
+		p.ArrivedAt = time.Now()
+		if err := c.read(r, p); err != nil && !c.failRead(p, err) {
+			c.abort()
+			return
+		}
+		buffered := r.Buffered() > 0
+		if !buffered {
+			c.server.readers.Put(r)
+			r = nil
+		}
+		p.last = p.last || p.Request.Header.ConnectionClose() || c.server.draining.Load() && !buffered
+		c.enqueue(p)
+		if p.last {
+			break
+		}
+	}
+	c.awaitEnd()
+}
+
+// awaitRoom waits until there is room for another pending call. It returns false
+// if the connection accepts no further request.
+func (c *conn) awaitRoom() bool {
+	return c.await(func() bool { return c.closing || len(c.pending) < maxPending && c.bytes < maxPendingBytes }) && !c.isClosing()
+}
+
+// awaitEnd waits until all calls have been answered, and closes the connection.
+func (c *conn) awaitEnd() {
+	if !c.await(func() bool { return c.broken || len(c.pending) == 0 && !c.writing }) {
+		return
+	}
+	c.linger()
+	c.abort()
+}
+
+// await waits until a condition on the pending calls holds. It returns false if
+// the caller disconnected meanwhile.
+func (c *conn) await(condition func() bool) bool {
+	var ticks <-chan time.Time
+	for {
+		c.mu.Lock()
+		ok := condition()
+		c.mu.Unlock()
+		if ok {
+			return true
+		}
+		if ticks == nil {
+			ticker := time.NewTicker(disconnectCheckInterval)
+			defer ticker.Stop()
+			ticks = ticker.C
+		}
+		select {
+		case <-c.changed:
+		case <-ticks:
+			if inspector.Disconnected(c.net) {
+				c.abort()
+				return false
+			}
+		}
+	}
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// awaitRequest waits for the first byte of a request, at most for the idle
+// timeout if no call is pending. No buffer is held while it waits. The reader is
+// nil if the connection accepts no further request.
+func (c *conn) awaitRequest() (*bufio.Reader, error) {
+	var first [1]byte
+	for {
+		c.mu.Lock()
+		c.awaiting = true
+		c.setIdleDeadline()
+		c.mu.Unlock()
+		_, err := io.ReadFull(c.net, first[:])
+		c.mu.Lock()
+		c.awaiting = false
+		busy, closing := len(c.pending) > 0, c.closing
+		c.mu.Unlock()
+		if closing {
+			return nil, nil
+		}
+		if err == nil {
+			break
+		}
+		if !busy || !isTimeout(err) {
+			return nil, errors.Annotate(err, "waiting for a request")
+		}
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(transferTimeout))
+	r := c.server.readers.Get().(*bufio.Reader)
+	r.Reset(&prefixedReader{first: first[0], unread: true, rest: c.net})
+	return r, nil
+}
+
+// prefixedReader reads a byte and then the rest from a connection.
+type prefixedReader struct {
+	first byte
+	// unread reports whether first was not read yet.
+	unread bool
+	rest   net.Conn
+}
+
+// Read implements io.Reader.
+func (r *prefixedReader) Read(p []byte) (int, error) {
+	if !r.unread || len(p) == 0 {
+		return r.rest.Read(p)
+	}
+	p[0], r.unread = r.first, false
+	return 1, nil
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// setIdleDeadline sets the deadline for the first byte of the next request: none
+// while calls are pending. The lock must be held.
+func (c *conn) setIdleDeadline() {
+	deadline := time.Time{}
+	if len(c.pending) == 0 {
+		deadline = time.Now().Add(c.server.idleTimeout())
+	}
+	_ = c.net.SetReadDeadline(deadline)
+}
+
+// read reads a request.
+func (c *conn) read(r *bufio.Reader, p *pendingCall) error {
+	if err := readHeader(r, p.Request); err != nil {
+		return err
+	}
+	if p.Request.MayContinue() {
+		if err := c.sendContinue(); err != nil {
+			return err
+		}
+	}
+	if err := p.Request.ContinueReadBody(r, c.server.options.MaxBody, false); err != nil {
+		return err
+	}
+	p.size = len(p.Request.Body())
+	return nil
+}
+
+// sendContinue asks the caller for the body of a request, once the requests ahead
+// of it have been answered.
+func (c *conn) sendContinue() error {
+	if !c.await(func() bool { return c.broken || len(c.pending) == 0 && !c.writing }) {
+		return io.ErrUnexpectedEOF
+	}
+	_ = c.net.SetWriteDeadline(time.Now().Add(transferTimeout))
+	_, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// failRead sets the response to a request that could not be read. It returns
+// false if the connection ended, which is not answered.
+func (c *conn) failRead(p *pendingCall, err error) bool {
+	var netErr net.Error
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) && !netErr.Timeout()
+	if ended {
+		p.release()
+		return false
+	}
+	setReadError(p.Response, err)
+	p.done, p.last, p.concurrent = true, true, true
+	return true
+}
+
+// enqueue adds a call and starts it if it does not have to wait for others.
+func (c *conn) enqueue(p *pendingCall) {
+	if !p.done {
+		p.concurrent = c.server.options.Handler.Concurrent(&p.Call)
+	}
+	c.server.pending.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.last {
+		c.closing = true
+	}
+	c.pending = append(c.pending, p)
+	c.bytes += p.size
+	c.startCalls()
+	if p.done {
+		c.writeResponses()
+	}
+}
+
+// startCalls starts the calls that do not have to wait for others. The lock must
+// be held.
+func (c *conn) startCalls() {
+	for c.started < len(c.pending) && !c.broken {
+		p := c.pending[c.started]
+		if c.started > 0 && (!p.concurrent || !c.pending[0].concurrent || c.bytes >= maxPendingBytes) {
+			return
+		}
+		c.started++
+		if !p.done {
+			go c.run(p)
+		}
+	}
+}
+
+// run runs a call and writes its response unless an earlier one is due.
+func (c *conn) run(p *pendingCall) {
+	c.server.handle(c.ctx, &p.Call)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.done = true
+	size := len(p.Response.Body())
+	p.size += size
+	c.bytes += size
+	c.writeResponses()
+}
+
+// writeResponses writes the responses of the first pending calls that are done,
+// unless another goroutine does. The lock must be held; it is released while a
+// response is written.
+func (c *conn) writeResponses() {
+	if c.writing {
+		return
+	}
+	c.writing = true
+	w := c.server.writers.Get().(*bufio.Writer)
+	w.Reset(c.net)
+	for len(c.pending) > 0 && c.pending[0].done {
+		c.writeFirst(w)
+	}
+	w.Reset(nil)
+	c.server.writers.Put(w)
+	c.writing = false
+	if c.awaiting {
+		c.setIdleDeadline()
+	}
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// writeFirst writes the response of the first pending call and removes the call.
+func (c *conn) writeFirst(w *bufio.Writer) {
+	p := c.pending[0]
+	if len(c.pending) == 1 && c.awaiting && c.server.draining.Load() {
+		p.last = true
+	}
+	if p.last {
+		c.closing = true
+	}
+	flush := len(c.pending) == 1 || !c.pending[1].done
+	if !c.broken {
+		c.mu.Unlock()
+		err := writeResponse(c.net, w, p, flush)
+		c.mu.Lock()
+		c.broken = c.broken || err != nil
+	}
+	c.bytes -= p.size
+	c.pending = c.pending[1:]
+	c.started--
+	p.release()
+	c.server.pending.Add(-1)
+	if c.broken {
+		c.breakOff()
+	} else if p.last && c.awaiting {
+		// Ends the wait of the reader.
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.startCalls()
+}
+
+// writeResponse writes the response of a call.
+func writeResponse(conn net.Conn, w *bufio.Writer, p *pendingCall, flush bool) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(transferTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	h := &p.Response.Header
+	switch {
+	case p.last:
+		h.SetConnectionClose()
+	case !p.Request.Header.IsHTTP11():
+		h.Set(fasthttp.HeaderConnection, "keep-alive")
+	}
+	p.Response.SkipBody = p.Response.SkipBody || p.Request.Header.IsHead()
+	if err := p.Response.Write(w); err != nil {
+		return errors.Trace(err)
+	}
+	if flush {
+		return errors.Trace(w.Flush())
+	}
+	return nil
+}
+
+// abort ends the connection at once.
+func (c *conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breakOff()
+}
+
+// breakOff ends the connection at once: calls that were not started are dropped,
+// and the context of those that run ends. The lock must be held.
+func (c *conn) breakOff() {
+	c.closing, c.broken = true, true
+	c.cancel()
+	_ = c.net.Close()
+	for _, p := range c.pending[c.started:] {
+		p.release()
+		c.server.pending.Add(-1)
+	}
+	c.pending = c.pending[:c.started]
+}
+
+// closeIdle closes the connection if it has no request.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting && len(c.pending) == 0 {
+		c.breakOff()
+	}
+}
+
+// linger ends the sending direction and discards what the caller has sent behind
+// the last request.
+func (c *conn) linger() {
+	half, ok := c.net.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.net, lingerBytes)
+}
--- /dev/null
+++ b/pipeliner/server.go
@@ -0,0 +1,164 @@
+package pipeliner
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Options configures a Server.
+type Options struct {
+	// Handler is required.
+	Handler Handler
+	// MaxHeader and MaxBody bound the sizes of a request in bytes.
+	MaxHeader, MaxBody int
+	// MaxConns bounds the open connections.
+	MaxConns int
+	// IdleTimeout returns how long a connection may stay without a request.
+	IdleTimeout func() time.Duration
+	// Log receives faults of handlers.
+	Log *slog.Logger
+}
+
+// Server serves connections. Use New to create one.
+type Server struct {
+	options Options
+	// readers and writers hold buffers that no connection uses.
+	readers, writers sync.Pool
+	// draining is set when connections close after the responses to the requests
+	// that were read.
+	draining atomic.Bool
+	// pending counts requests that were read and whose responses are not written.
+	pending atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// writeBufferSize is the size in bytes of the buffer for a response. Larger bodies
+// are written from their own memory.
+const writeBufferSize = 4 << 10
+
+// New returns a Server.
+func New(o Options) *Server {
+	s := &Server{options: o, conns: make(map[*conn]struct{})}
+	s.readers.New = func() any { return bufio.NewReaderSize(nil, o.MaxHeader) }
+	s.writers.New = func() any { return bufio.NewWriterSize(nil, writeBufferSize) }
+	return s
+}
+
+// Pending returns the number of requests that were read and whose responses have
+// not been written.
+func (s *Server) Pending() int { return int(s.pending.Load()) }
+
+// Drain makes each connection close after the responses to the requests that were
+// read from it, so that callers open their next connection to another entry.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// acceptBackoff is the pause after a failed accept, for instance for want of
+// descriptors.
+const acceptBackoff = 10 * time.Millisecond
+
+// Serve serves the connections of a listener until it is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.options.Log.Warn("accepting a connection failed", "error", err.Error())
+			time.Sleep(acceptBackoff)
+			continue
+		}
+		go s.ServeConn(c)
+	}
+}
+
+// ServeConn serves one connection until it ends.
+func (s *Server) ServeConn(n net.Conn) {
+	c := &conn{server: s, net: n, changed: make(chan struct{}, 1)}
+	if !s.add(c) {
+		_, _ = io.WriteString(n, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		_ = n.Close()
+		return
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.serve()
+}
+
+// add registers a connection. It returns false if there are too many.
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.options.MaxConns {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// open returns the open connections.
+func (s *Server) open() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// shutdownPollInterval is how often Shutdown checks for connections that have
+// become idle.
+const shutdownPollInterval = 10 * time.Millisecond
+
+// Shutdown closes idle connections and the others as soon as their requests have
+// been answered. It returns the error of ctx if it ends before.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	for {
+		conns := s.open()
+		if len(conns) == 0 {
+			return nil
+		}
+		for _, c := range conns {
+			c.closeIdle()
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Annotatef(ctx.Err(), "%d connections still open", len(conns))
+		case <-time.After(shutdownPollInterval):
+		}
+	}
+}
+
+func (s *Server) idleTimeout() time.Duration { return s.options.IdleTimeout() }
+
+// handle runs the handler. A handler that panics may have sent the request to an
+// upstream, so the response does not state that it did not run.
+func (s *Server) handle(ctx context.Context, c *Call) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.options.Log.Error("handler panicked", "cause", cause, "stack", string(debug.Stack()))
+			c.Response.Reset()
+			c.Response.SetStatusCode(fasthttp.StatusBadGateway)
+		}
+	}()
+	s.options.Handler.Handle(ctx, c)
+}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -16,6 +16,7 @@
 	"poplarwind/forwarder"
 	"poplarwind/internal/sleeper"
 	"poplarwind/parser"
+	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/platform"
 	"poplarwind/reporter"
@@ -36,8 +37,10 @@
 	forwarder  *forwarder.Forwarder
 	requestLog *reporter.RequestLogger
 	reporter   *reporter.Gateway
-	// listeners begins with those that every daemon has, in the order callers,
-	// peers, ops.
+	// callers serves the connections that callersListener accepts.
+	callers         *pipeliner.Server
+	callersListener net.Listener
+	// listeners holds the other listeners.
 	listeners []gatewayListener
 	// membershipCache is the last membership snapshot, nil before the first.
 	membershipCache atomic.Pointer[membership]
@@ -105,6 +108,10 @@
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Entries:     g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 	})
+	g.callers = pipeliner.New(pipeliner.Options{
+		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), MaxConns: p.MaxConns(),
+		IdleTimeout: g.callerIdleTimeout, Log: log,
+	})
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
@@ -125,30 +132,35 @@
 	o := p.Gateway()
 	small := listener{body: opsMaxBody, header: internalMaxHeader, conns: internalMaxConns}
 	g.listeners = []gatewayListener{
-		{address: p.Callers(), handle: g.forwarder.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: p.MaxBodyBytes(), header: p.MaxHeaderBytes(), conns: p.MaxConns()}},
 		{address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns}},
 		{address: p.Ops(), handle: g.reporter.Handle, idleTimeout: idleTimeout, listener: small},
 		{address: o.ResolveAddr(), handle: platform.ResolveHandler(g.resolve), idleTimeout: idleTimeout, listener: small},
 		{address: o.ReadyAddr(), handle: platform.ReadyHandler(g.ready), idleTimeout: idleTimeout, listener: small},
 	}
+	var err error
+	if g.callersListener, err = listenTCP(p.Callers()); err != nil {
+		return err
+	}
 	for i := range g.listeners {
-		l, err := net.Listen("tcp", g.listeners[i].address)
-		if err != nil {
-			return errors.Annotatef(err, "listening at %s", g.listeners[i].address)
+		if g.listeners[i].Listener, err = listenTCP(g.listeners[i].address); err != nil {
+			return err
 		}
-		g.listeners[i].Listener = l
 	}
-	g.listeners[callers].Listener = idleListener{Listener: g.listeners[callers].Listener, timeout: g.callerIdleTimeout}
 	return nil
 }
 
-// callerIdleTimeout returns the idle timeout of callers' connections in the
-// configuration in force, 0 if it sets none.
+func listenTCP(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Annotatef(err, "listening at %s", address)
+}
+
+// callerIdleTimeout returns the idle timeout of callers' connections, which the
+// configuration in force may set.
 func (g *Gateway) callerIdleTimeout() time.Duration {
-	if t := g.forwarder.Table(); t != nil {
+	if t := g.forwarder.Table(); t != nil && t.Limits().IdleTimeout > 0 {
 		return t.Limits().IdleTimeout
 	}
-	return 0
+	return gatewayIdleTimeout
 }
 
 // ready reports whether this entry can serve requests: it is not draining, has a
@@ -184,11 +196,12 @@
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
-	servers := make([]*fasthttp.Server, 0, len(g.listeners))
+	group.Go(func() error { return g.callers.Serve(g.callersListener) })
+	servers := []shutdowner{g.callers}
 	for _, l := range g.listeners {
 		s := l.server(l.handle)
 		s.IdleTimeout, s.ReduceMemoryUsage = l.idleTimeout, true
-		servers = append(servers, s)
+		servers = append(servers, httpServer{s})
 		group.Go(func() error { return g.serve(s, l.Listener) })
 	}
 	tasks := []func(context.Context) error{
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -13,7 +13,7 @@
 	"poplarwind/resolver"
 )
 
-// The listeners of a daemon, by index in Runner.listeners and Gateway.listeners.
+// The listeners of a daemon, by index in Runner.listeners.
 const (
 	callers = iota
 	peers
--- a/runner/shutdown.go
+++ b/runner/shutdown.go
@@ -28,31 +28,43 @@
 func (g *Gateway) drain(ctx context.Context) {
 	start := time.Now()
 	deadline := start.Add(g.process.Gateway().ShutdownTimeout() - exitMargin)
-	g.log.Info("entry leaving", "running", g.forwarder.InFlight())
+	g.log.Info("entry leaving", "running", g.callers.Pending())
 	g.draining.Store(true)
-	g.forwarder.Drain()
+	g.callers.Drain()
 	g.announcer.AnnounceDrain(ctx)
 	sleeper.Sleep(ctx, time.Until(start.Add(time.Duration(acceptFraction*float64(deadline.Sub(start))))))
 	g.forwarder.RejectNew()
-	if err := g.listeners[callers].Close(); err != nil {
+	if err := g.callersListener.Close(); err != nil {
 		g.log.Warn("closing the callers' listener failed", "error", err.Error())
 	}
-	for time.Now().Before(deadline) && (g.forwarder.InFlight() > 0 || time.Until(deadline) > idlePeriod) {
+	for time.Now().Before(deadline) && (g.callers.Pending() > 0 || time.Until(deadline) > idlePeriod) {
 		sleeper.Sleep(ctx, drainPollInterval)
 	}
-	g.log.Info("entry drained", "running", g.forwarder.InFlight(), "took_ms", time.Since(start).Milliseconds())
+	g.log.Info("entry drained", "running", g.callers.Pending(), "took_ms", time.Since(start).Milliseconds())
 }
 
 // serverShutdownTimeout bounds the shutdown of the servers. Connections that are
 // still in use then are closed by the exit of the process.
 const serverShutdownTimeout = 300 * time.Millisecond
 
+// shutdowner is a server that closes its connections once their requests have been
+// answered, until ctx ends.
+type shutdowner interface {
+	Shutdown(ctx context.Context) error
+}
+
+// httpServer adapts a fasthttp server to a shutdowner.
+type httpServer struct{ *fasthttp.Server }
+
+// Shutdown implements shutdowner.
+func (s httpServer) Shutdown(ctx context.Context) error { return s.ShutdownWithContext(ctx) }
+
 // shutdownServers shuts down the servers within serverShutdownTimeout.
-func (g *Gateway) shutdownServers(servers []*fasthttp.Server) {
+func (g *Gateway) shutdownServers(servers []shutdowner) {
 	ctx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
-		if err := s.ShutdownWithContext(ctx); err != nil {
+		if err := s.Shutdown(ctx); err != nil {
 			g.log.Warn("server shutdown failed", "error", err.Error())
 		}
 	}
