announcer: heartbeats are binary, and only recent ones are exchanged

Cause: at 312 entries an exchange of heartbeats takes 4.5 ms of a processor, both sides together, on a busy machine (BenchmarkExchange): JSON of 312 rows, gzip, sorting of names.

Ruled out: fewer exchanges (an update takes 5 rounds through a domain of 62, and the heartbeat timeout is 2.5 s); compression of the binary rows, which are mostly hashes.

Change: rows are binary, 21 bytes, behind the JSON of a message; members have a 48-bit ID instead of their name; only heartbeats received within two intervals are passed on, all of them to an entry that starts; the table keeps its order instead of sorting at each read. An entry that restarts with a lower epoch is still told of its earlier process. Entries of the builds before this one don't understand the rows: replace all entries of a deployment within the heartbeat timeout.

TestExchangeSize: heartbeats of 312 entries within 28 KB a second an entry, the users' long-run limit; it failed with rows of 23 bytes (30.5 KB).

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"log/slog"
 	mathrand "math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,8 +75,6 @@
 	// Options.BytesPerSecond.
 	budget *rate.Limiter
 	random *mathrand.Rand
-	// heartbeats counts heartbeat rounds. Only Run accesses it.
-	heartbeats int
 	// sent and received count bytes, throttled the exchanges that the budget
 	// denied, and rejected the messages that failed verification or parsing.
 	sent, received, throttled, rejected atomic.Int64
@@ -83,15 +82,17 @@
 	mu sync.Mutex
 	// requested holds, for each peer, the members whose descriptions it
 	// requested.
-	requested map[string][]string
+	requested map[string][]ID
 	// lastPull is when settings were last requested from a peer.
 	lastPull time.Time
+	// heartbeats counts heartbeat rounds.
+	heartbeats int
 }
 
 // New returns an announcer for the table.
 func New(t *Table, o Options) *Announcer {
 	return &Announcer{
-		options: o, table: t, requested: make(map[string][]string),
+		options: o, table: t, requested: make(map[string][]ID),
 		budget: rate.NewLimiter(rate.Limit(o.BytesPerSecond/2), burstSeconds*o.BytesPerSecond),
 		random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		client: fasthttp.Client{
@@ -143,12 +144,19 @@
 
 // interval returns the time until the next heartbeat.
 func (a *Announcer) interval() time.Duration {
-	if a.heartbeats <= startupHeartbeats {
+	if a.round() <= startupHeartbeats {
 		return a.options.HeartbeatInterval / startupFactor
 	}
 	return a.options.HeartbeatInterval
 }
 
+// round returns the number of heartbeat rounds since the start.
+func (a *Announcer) round() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heartbeats
+}
+
 // remoteContactRatio is the fraction of heartbeats at which an entry that does
 // not represent its failure domain contacts another domain. It reconnects
 // domains that no longer know each other's representatives. A seed is contacted
@@ -161,7 +169,9 @@
 
 // selectPeers returns the peers to contact in one heartbeat round.
 func (a *Announcer) selectPeers(peers []Member) []Member {
+	a.mu.Lock()
 	a.heartbeats++
+	a.mu.Unlock()
 	a.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	if !a.options.DomainLocal {
 		return peers[:min(fanout, len(peers))]
@@ -176,7 +186,7 @@
 		}
 	}
 	out := local[:min(fanout, len(local))]
-	due := a.heartbeats%remoteContactHeartbeats == 0 && a.representsDomain(self)
+	due := a.round()%remoteContactHeartbeats == 0 && a.representsDomain(self)
 	if len(remote) > 0 && (due || len(local) == 0 || a.random.Float64() < remoteContactRatio) {
 		out = append(out, remote[0])
 	}
@@ -210,7 +220,7 @@
 // exchangeTables exchanges tables with one peer. It pulls settings if those of
 // the peer differ, or if the platform's list is still missing.
 func (a *Announcer) exchangeTables(ctx context.Context, p Member) {
-	h := a.newHello(p.Name, nil)
+	h := a.newHello(p.Name, nil, false)
 	data, err := a.sendThrottled(ctx, p, pathHello, h)
 	if err != nil {
 		return
@@ -226,38 +236,45 @@
 	}
 }
 
-// newHello returns a message that describes this entry to a peer, with the
-// heartbeats newer than those in seen and the descriptions that the peer
-// requested.
-func (a *Announcer) newHello(peer string, seen []Heartbeat) Hello {
-	now := time.Now()
+// recentHeartbeats is the age, in heartbeat intervals, up to which a heartbeat is
+// passed on. In this time an entry exchanges tables with some peers, and each of
+// them does so in turn, so that nearly all entries receive it.
+const recentHeartbeats = 2
+
+// newHello returns a message that describes this entry to a peer, with the recent
+// heartbeats, or all of them, that are newer than those in seen, and the
+// descriptions that the peer requested.
+func (a *Announcer) newHello(peer string, seen []Heartbeat, all bool) Hello {
 	self, _ := a.table.Self()
 	a.mu.Lock()
 	requested := a.requested[peer]
 	delete(a.requested, peer)
+	starting := a.heartbeats <= startupHeartbeats
 	a.mu.Unlock()
-	return Hello{From: self, Heartbeats: newerThan(a.table.Heartbeats(now), seen), Descriptions: a.table.Lookup(requested)}
-}
-
-// newerThan filters heartbeats in place, keeping those that are newer than the
-// ones in seen.
-func newerThan(heartbeats, seen []Heartbeat) []Heartbeat {
-	known := make(map[string]Heartbeat, len(seen))
-	for _, h := range seen {
-		known[h.Name] = h
-	}
-	kept := heartbeats[:0]
-	for _, h := range heartbeats {
-		if old, ok := known[h.Name]; !ok || old.olderThan(h) {
-			kept = append(kept, h)
-		}
-	}
-	return kept
+	maxAge := recentHeartbeats * a.options.HeartbeatInterval
+	if all {
+		maxAge = 0
+	}
+	h := Hello{From: self, Full: starting, Descriptions: a.table.Lookup(requested)}
+	known := make(map[ID]Heartbeat, len(seen))
+	for _, b := range seen {
+		known[b.ID] = b
+	}
+	h.Heartbeats = slices.DeleteFunc(a.table.Heartbeats(nil, time.Now(), maxAge), func(b Heartbeat) bool {
+		old, ok := known[b.ID]
+		return ok && !old.olderThan(b)
+	})
+	// A peer that restarted with a lower epoch must see the heartbeats of its earlier
+	// process, whatever their age, in order to supersede them.
+	if latest, ok := a.table.Heartbeat(IDOf(peer)); ok && known[latest.ID].Epoch < latest.Epoch {
+		h.Heartbeats = append(h.Heartbeats, latest)
+	}
+	return h
 }
 
-// applyHello applies a peer's hello to the table. It returns the names of the
-// members whose descriptions are missing.
-func (a *Announcer) applyHello(h Hello) []string {
+// applyHello applies a peer's hello to the table. It returns the IDs of the members
+// whose descriptions are missing.
+func (a *Announcer) applyHello(h Hello) []ID {
 	now := time.Now()
 	a.table.MergeDescriptions(now, false, h.Descriptions...)
 	a.table.MergeDescriptions(now, true, h.From)
@@ -397,7 +414,7 @@
 			return
 		}
 		missing := a.applyHello(h)
-		reply := a.newHello(h.From.Name, h.Heartbeats)
+		reply := a.newHello(h.From.Name, h.Heartbeats, h.Full)
 		reply.Requested = missing[:min(len(missing), maxRequested)]
 		response = reply
 	case pathPull:
--- a/announcer/message.go
+++ b/announcer/message.go
@@ -28,12 +28,15 @@
 	maxObjects = 512 << 10
 )
 
-// Hello is the message that entries exchange at each heartbeat.
+// Hello is the message that entries exchange at each heartbeat. It is sent as JSON
+// and, after a line end, the encoded heartbeats.
 type Hello struct {
-	From         Member      `json:"from"`
-	Heartbeats   []Heartbeat `json:"news"`
-	Requested    []string    `json:"want,omitempty"`
-	Descriptions []Member    `json:"intro,omitempty"`
+	From       Member      `json:"from"`
+	Heartbeats []Heartbeat `json:"-"`
+	// Full requests the heartbeats of all live members, not only recent ones.
+	Full         bool     `json:"all,omitempty"`
+	Requested    []ID     `json:"want,omitempty"`
+	Descriptions []Member `json:"intro,omitempty"`
 }
 
 // PullRequest requests accepted settings newer than those in Have.
@@ -58,13 +61,21 @@
 var gzipMagic = []byte{0x1f, 0x8b}
 
 // pack encodes a message as JSON and compresses large ones. These consist
-// mostly of repeated names and shrink to about 1/3.
+// mostly of repeated names and shrink to about 1/3. Heartbeats alone hardly
+// shrink.
 func pack(message any) ([]byte, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if len(body) <= smallMessage {
+	compress := len(body) > smallMessage
+	if h, ok := message.(Hello); ok {
+		body = append(body, '\n')
+		for _, b := range h.Heartbeats {
+			body = appendHeartbeat(body, b)
+		}
+	}
+	if !compress {
 		return body, nil
 	}
 	return fasthttp.AppendGzipBytesLevel(nil, body, fasthttp.CompressBestSpeed), nil
@@ -94,14 +105,13 @@
 // ParseHello decodes a Hello and checks its limits.
 func ParseHello(data []byte) (Hello, error) {
 	var h Hello
+	data, rows, _ := bytes.Cut(data, []byte{'\n'})
 	if err := json.Unmarshal(data, &h); err != nil {
 		return h, errors.WithType(err, ErrMalformed)
 	}
 	switch {
 	case h.From.Name == "":
 		return h, errors.Annotate(ErrMalformed, "from.name: missing")
-	case len(h.Heartbeats) > maxHeartbeats:
-		return h, errors.Annotate(ErrMalformed, "news: too long")
 	case len(h.Requested) > maxRequested || len(h.Descriptions) > maxHeartbeats:
 		return h, errors.Annotate(ErrMalformed, "want, intro: too long")
 	}
@@ -110,15 +120,9 @@
 			return h, err
 		}
 	}
-	for _, b := range h.Heartbeats {
-		if b.Name == "" || len(b.Name) > maxText {
-			return h, errors.Annotate(ErrMalformed, "news.n: length")
-		}
-		if !(b.Load >= 0) {
-			return h, errors.Annotate(ErrMalformed, "news.q: below 0")
-		}
-	}
-	return h, nil
+	var err error
+	h.Heartbeats, err = decodeHeartbeats(rows)
+	return h, err
 }
 
 func (m Member) check() error {
--- a/announcer/table.go
+++ b/announcer/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,7 +21,7 @@
 	// higher epoch.
 	Epoch int64 `json:"epoch"`
 	// Digest is the digest of the settings in force.
-	Digest uint64 `json:"digest"`
+	Digest uint64 `json:"digest,omitempty"`
 	// Rates holds the call rates of the services that the entry serves.
 	Rates []Rate `json:"rates,omitempty"`
 	// DrainMarks holds the servers that the entry recently found to be draining.
@@ -48,19 +47,6 @@
 	Server string `json:"server"`
 }
 
-// Heartbeat is the most recent heartbeat of one member.
-type Heartbeat struct {
-	Name  string `json:"n"`
-	Epoch int64  `json:"e"`
-	// Sequence is incremented with each heartbeat of the member.
-	Sequence uint64 `json:"b"`
-	Draining bool   `json:"l,omitempty"`
-	// Ready reports whether the member serves callers, and Load is the rate of
-	// requests a second that it receives, at least 0.
-	Ready bool    `json:"r,omitempty"`
-	Load  float64 `json:"q,omitempty"`
-}
-
 // row is the state of one member in a table.
 type row struct {
 	member    Member
@@ -85,16 +71,30 @@
 
 	mu   sync.Mutex
 	self *row
-	// rows is keyed by name and includes self.
-	rows     map[string]*row
+	// rows is keyed by ID and includes self.
+	rows map[ID]*row
+	// order holds the rows in order of name.
+	order    []*row
 	lastTick time.Time
 }
 
+// find returns the row of a name, or nil. The lock must be held.
+func (t *Table) find(name string) *row { return t.rows[IDOf(name)] }
+
+// add adds a row. The lock must be held.
+func (t *Table) add(r *row) {
+	t.rows[r.heartbeat.ID] = r
+	i, _ := slices.BinarySearchFunc(t.order, r.member.Name, func(r *row, name string) int { return cmp.Compare(r.member.Name, name) })
+	t.order = slices.Insert(t.order, i, r)
+}
+
 // NewTable returns a table that holds only self. A member is not live if no
 // newer heartbeat of it is received within timeout.
 func NewTable(now time.Time, self Member, timeout time.Duration) *Table {
-	r := &row{member: self, heartbeat: Heartbeat{Name: self.Name, Epoch: self.Epoch}, lastHeartbeat: now, described: now}
-	return &Table{timeout: timeout, remoteTimeout: timeout, self: r, rows: map[string]*row{self.Name: r}, lastTick: now}
+	r := &row{member: self, heartbeat: Heartbeat{ID: IDOf(self.Name), Epoch: self.Epoch}, lastHeartbeat: now, described: now}
+	t := &Table{timeout: timeout, remoteTimeout: timeout, self: r, rows: make(map[ID]*row), lastTick: now}
+	t.add(r)
+	return t
 }
 
 // SetRemoteTimeout sets the heartbeat timeout for members of other failure
@@ -119,14 +119,16 @@
 	t.lastTick = now
 	t.self.heartbeat.Sequence++
 	t.self.lastHeartbeat, t.self.described = now, now
-	for name, r := range t.rows {
+	t.order = slices.DeleteFunc(t.order, func(r *row) bool {
 		if paused > t.timeout/2 {
 			r.lastHeartbeat = earliest(now, r.lastHeartbeat.Add(paused))
 		}
-		if r != t.self && now.Sub(r.lastHeartbeat) > evictionFactor*t.timeout {
-			delete(t.rows, name)
+		evicted := r != t.self && now.Sub(r.lastHeartbeat) > evictionFactor*t.timeout
+		if evicted {
+			delete(t.rows, r.heartbeat.ID)
 		}
-	}
+		return evicted
+	})
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -172,30 +174,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, i := range list {
-		if i.Service != "" || i.Peers == "" || t.rows[i.Name] != nil {
+		if i.Service != "" || i.Peers == "" || t.find(i.Name) != nil {
 			continue
 		}
 		m := Member{Name: i.Name, Domain: i.Domain, Callers: i.Addr, Peers: i.Peers, Ops: i.Ops}
-		t.rows[i.Name] = &row{member: m, heartbeat: Heartbeat{Name: i.Name}, lastHeartbeat: now}
+		t.add(&row{member: m, heartbeat: Heartbeat{ID: IDOf(i.Name)}, lastHeartbeat: now})
 	}
 }
 
-// MergeHeartbeats applies heartbeats received from a peer. It returns the names
-// of the members whose description is missing or belongs to an earlier epoch.
-func (t *Table) MergeHeartbeats(now time.Time, heartbeats []Heartbeat) []string {
+// MergeHeartbeats applies heartbeats received from a peer. It returns the IDs of
+// the members whose description is missing or belongs to an earlier epoch.
+func (t *Table) MergeHeartbeats(now time.Time, heartbeats []Heartbeat) []ID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var missing []string
+	var missing []ID
 	for _, h := range heartbeats {
-		r := t.rows[h.Name]
+		r := t.rows[h.ID]
 		switch {
 		case r == t.self:
 			t.refute(h)
 		case r == nil:
-			missing = append(missing, h.Name)
+			missing = append(missing, h.ID)
 		case r.heartbeat.olderThan(h):
 			if h.Epoch > r.heartbeat.Epoch && r.member.Epoch != h.Epoch {
-				missing = append(missing, h.Name)
+				missing = append(missing, h.ID)
 			}
 			r.heartbeat = h
 			r.lastHeartbeat = now
@@ -204,14 +206,6 @@
 	return missing
 }
 
-// olderThan reports whether h is older than other.
-func (h Heartbeat) olderThan(other Heartbeat) bool {
-	if h.Epoch != other.Epoch {
-		return h.Epoch < other.Epoch
-	}
-	return h.Sequence < other.Sequence
-}
-
 // refute raises this entry's epoch above that of a previous process of the same
 // name whose heartbeats are still being disseminated.
 func (t *Table) refute(h Heartbeat) {
@@ -229,13 +223,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range members {
-		r := t.rows[m.Name]
+		r := t.find(m.Name)
 		if r == t.self || m.Name == "" {
 			continue
 		}
 		if r == nil {
-			r = &row{heartbeat: Heartbeat{Name: m.Name}, lastHeartbeat: now}
-			t.rows[m.Name] = r
+			r = &row{member: Member{Name: m.Name}, heartbeat: Heartbeat{ID: IDOf(m.Name)}, lastHeartbeat: now}
+			t.add(r)
 		}
 		if m.Epoch < r.member.Epoch || !direct && now.Sub(r.described) < t.timeout {
 			continue
@@ -254,27 +248,37 @@
 	return t.self.member, t.self.heartbeat
 }
 
-// Heartbeats returns the heartbeats of all members whose heartbeat timeout has not
-// elapsed.
-func (t *Table) Heartbeats(now time.Time) []Heartbeat {
+// Heartbeats appends to dst the heartbeats of the live members that were received
+// within maxAge, 0 meaning at any time.
+func (t *Table) Heartbeats(dst []Heartbeat, now time.Time, maxAge time.Duration) []Heartbeat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]Heartbeat, 0, len(t.rows))
-	for _, name := range slices.Sorted(maps.Keys(t.rows)) {
-		if r := t.rows[name]; t.live(now, r) && r.heartbeat.Sequence > 0 {
-			out = append(out, r.heartbeat)
+	for _, r := range t.order {
+		if t.live(now, r) && r.heartbeat.Sequence > 0 && (maxAge == 0 || now.Sub(r.lastHeartbeat) < maxAge) {
+			dst = append(dst, r.heartbeat)
 		}
 	}
-	return out
+	return dst
+}
+
+// Heartbeat returns the latest heartbeat of a member, false if it is not in the
+// table.
+func (t *Table) Heartbeat(id ID) (Heartbeat, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[id]; r != nil {
+		return r.heartbeat, true
+	}
+	return Heartbeat{}, false
 }
 
-// Lookup returns the descriptions of those named members that are in the table.
-func (t *Table) Lookup(names []string) []Member {
+// Lookup returns the descriptions of those members that are in the table.
+func (t *Table) Lookup(ids []ID) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Member
-	for _, n := range names {
-		if r := t.rows[n]; r != nil {
+	for _, id := range ids {
+		if r := t.rows[id]; r != nil {
 			out = append(out, r.member)
 		}
 	}
@@ -297,17 +301,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Status
-	for _, r := range t.rows {
+	for _, r := range t.order {
 		out = append(out, Status{Member: r.member, Sequence: r.heartbeat.Sequence, Draining: r.heartbeat.Draining, Live: t.live(now, r)})
 	}
-	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
 	return out
 }
 
 // Status is the state of a member that is shown to operators.
 type Status struct {
 	Member   Member `json:"member"`
-	Sequence uint64 `json:"beat"`
+	Sequence uint32 `json:"beat"`
 	Draining bool   `json:"leaving"`
 	Live     bool   `json:"live"`
 }
@@ -324,8 +327,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]Member, 0, len(t.rows))
-	for _, name := range slices.Sorted(maps.Keys(t.rows)) {
-		if r := t.rows[name]; match(r) {
+	for _, r := range t.order {
+		if match(r) {
 			m := r.member
 			m.Ready, m.Load = r.heartbeat.Ready, r.heartbeat.Load
 			out = append(out, m)
