--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -372,6 +372,9 @@
 	req.SetBody(body)
 	a.sent.Add(int64(len(body) + headerOverhead))
 	deadline := time.Now().Add(peerTimeout)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
 	if err := a.client.DoDeadline(req, resp, deadline); err != nil {
 		return nil, errors.WithType(err, errPeer)
 	}
--- a/announcer/message.go
+++ b/announcer/message.go
@@ -60,10 +60,19 @@
 // gzipMagic is the prefix of a compressed message. No JSON text starts with it.
 var gzipMagic = []byte{0x1f, 0x8b}
 
+// Packed is a message that was encoded by Pack, to be sent to several members.
+type Packed []byte
+
+// Pack encodes a message for Announcer.Send and its Handler.
+func Pack(message any) (Packed, error) { return pack(message) }
+
 // pack encodes a message as JSON and compresses large ones. These consist
 // mostly of repeated names and shrink to about 1/3. Heartbeats alone hardly
 // shrink.
 func pack(message any) ([]byte, error) {
+	if p, ok := message.(Packed); ok {
+		return p, nil
+	}
 	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -81,6 +90,9 @@
 	return fasthttp.AppendGzipBytesLevel(nil, body, fasthttp.CompressBestSpeed), nil
 }
 
+// Unpack returns the JSON text of a packed message.
+func (p Packed) Unpack() ([]byte, error) { return unpack(p) }
+
 // unpack returns the JSON text of a packed message, of at most MaxMessage bytes
 // if it is compressed. The result shares no memory with data, which may belong
 // to a request or response object that is reused.
--- a/announcer/table.go
+++ b/announcer/table.go
@@ -76,6 +76,9 @@
 	// order holds the rows in order of name.
 	order    []*row
 	lastTick time.Time
+	// cachedLive is the result of Live as of cachedAt, nil if it has changed.
+	cachedLive []Member
+	cachedAt   time.Time
 }
 
 // find returns the row of a name, or nil. The lock must be held.
@@ -83,6 +86,7 @@
 
 // add adds a row. The lock must be held.
 func (t *Table) add(r *row) {
+	t.cachedLive = nil
 	t.rows[r.heartbeat.ID] = r
 	i, _ := slices.BinarySearchFunc(t.order, r.member.Name, func(r *row, name string) int { return cmp.Compare(r.member.Name, name) })
 	t.order = slices.Insert(t.order, i, r)
@@ -125,6 +129,7 @@
 		}
 		evicted := r != t.self && now.Sub(r.lastHeartbeat) > evictionFactor*t.timeout
 		if evicted {
+			t.cachedLive = nil
 			delete(t.rows, r.heartbeat.ID)
 		}
 		return evicted
@@ -143,6 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.member.Digest, t.self.member.Rates, t.self.member.DrainMarks = digest, rates, marks
+	t.cachedLive = nil
 }
 
 // SetLoad updates the state in this entry's heartbeats: whether it serves
@@ -151,6 +157,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.heartbeat.Ready, t.self.heartbeat.Load = ready, load
+	t.cachedLive = nil
 }
 
 // SetDraining marks this entry as draining. The mark is permanent.
@@ -158,6 +165,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.heartbeat.Draining = true
+	t.cachedLive = nil
 	t.self.heartbeat.Sequence++
 }
 
@@ -199,6 +207,9 @@
 			if h.Epoch > r.heartbeat.Epoch && r.member.Epoch != h.Epoch {
 				missing = append(missing, h.ID)
 			}
+			if h.Ready != r.heartbeat.Ready || h.Draining != r.heartbeat.Draining || !t.live(now, r) {
+				t.cachedLive = nil
+			}
 			r.heartbeat = h
 			r.lastHeartbeat = now
 		}
@@ -212,6 +223,7 @@
 	if !t.self.heartbeat.olderThan(h) {
 		return
 	}
+	t.cachedLive = nil
 	t.self.heartbeat.Epoch = max(t.self.heartbeat.Epoch, h.Epoch) + 1
 	t.self.member.Epoch = t.self.heartbeat.Epoch
 }
@@ -234,6 +246,9 @@
 		if m.Epoch < r.member.Epoch || !direct && now.Sub(r.described) < t.timeout {
 			continue
 		}
+		if m.Epoch != r.member.Epoch || m.Digest != r.member.Digest || len(m.Rates) > 0 || len(m.DrainMarks) > 0 || len(r.member.DrainMarks) > 0 {
+			t.cachedLive = nil
+		}
 		r.member = m
 		if direct {
 			r.described = now
@@ -285,14 +300,27 @@
 	return out
 }
 
-// Live returns the live members that are not draining, sorted by name.
+// liveTTL is how long the result of Live is reused while no member's state changes
+// but its load.
+const liveTTL = 100 * time.Millisecond
+
+// Live returns the live members that are not draining, sorted by name. The caller
+// must not modify the slice.
 func (t *Table) Live(now time.Time) []Member {
-	return t.filter(func(r *row) bool { return t.live(now, r) && !r.heartbeat.Draining })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cachedLive == nil || now.Sub(t.cachedAt) >= liveTTL || now.Before(t.cachedAt) {
+		t.cachedLive = t.filter(func(r *row) bool { return t.live(now, r) && !r.heartbeat.Draining })
+		t.cachedAt = now
+	}
+	return t.cachedLive
 }
 
 // Peers returns the members to gossip with, sorted by name: all but this entry
 // that are not yet due for eviction, live or not.
 func (t *Table) Peers(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return t.filter(func(r *row) bool { return r != t.self && now.Sub(r.lastHeartbeat) < evictionFactor*t.timeout })
 }
 
@@ -323,9 +351,8 @@
 	return r == t.self || r.heartbeat.Sequence > 0 && now.Sub(r.lastHeartbeat) < timeout
 }
 
+// filter returns the members that match. The lock must be held.
 func (t *Table) filter(match func(*row) bool) []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	out := make([]Member, 0, len(t.rows))
 	for _, r := range t.order {
 		if match(r) {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -101,6 +102,7 @@
 	if o.Bootstrap() {
 		g.tracker.SetInitialStart()
 	}
+	g.tracker.SetContacts(g.contacts, slices.Contains(p.Seeds(), p.Peers()))
 	g.requestLog = reporter.NewRequestLogger(log)
 	ratio, extra, window := o.RetryBudget()
 	g.forwarder = forwarder.New(forwarder.Options{
@@ -123,6 +125,17 @@
 	return g, g.open()
 }
 
+// contacts returns the other entries that are known, live or not, and the seeds.
+func (g *Gateway) contacts() []announcer.Member {
+	out := g.table.Peers(time.Now())
+	for _, address := range g.process.Seeds() {
+		if address != g.process.Peers() {
+			out = append(out, announcer.Member{Peers: address})
+		}
+	}
+	return out
+}
+
 // probeBudgetFraction is the fraction of the load probe budget that is used.
 const probeBudgetFraction = 0.9
 
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -123,7 +123,7 @@
 	if s != nil && len(s.all) > 0 && now.Sub(s.at) <= membershipTTL {
 		return s
 	}
-	live := g.table.Live(now)
+	live := slices.Clone(g.table.Live(now))
 	for i := range live {
 		if live[i].Name == g.process.Name() {
 			live[i].Ready = g.ready()
--- a/runner/register.go
+++ b/runner/register.go
@@ -8,6 +8,7 @@
 
 	"poplarwind/announcer"
 	"poplarwind/internal/sleeper"
+	"poplarwind/tracker"
 )
 
 const (
@@ -19,37 +20,65 @@
 	listIntervalPerEntry = 600 * time.Millisecond
 	minListInterval      = 10 * time.Second
 	registerTimeout      = 500 * time.Millisecond
-	// registerRetryInterval is the delay after a failed call, and while no other
-	// entry is listed.
-	registerRetryInterval = time.Second
+	// registerInterval is how often an entry checks whether it has to read the list
+	// or to register, and the delay after a failed call.
+	registerInterval = time.Second
+	// initialRegisterInterval is the delay of the first check at the first start of
+	// the whole deployment, when the list is empty. Otherwise an entry that starts
+	// reads the list at once: it may know no other than seeds that are down.
+	initialRegisterInterval = 300 * time.Millisecond
+	// registerDelay is how long an entry waits after its start before it registers,
+	// and initialRegisterDelay after the first start of the whole deployment. Until
+	// then it may not know all others, which determine whether it has to.
+	registerDelay        = 2 * time.Second
+	initialRegisterDelay = 4 * time.Second
+	// registeredPerDomain is the number of entries of each failure domain that are
+	// registered: enough that some of them are live when an entry needs the list,
+	// and few enough that the start of a large deployment writes little.
+	registeredPerDomain = 8
 )
 
-// register writes this entry to the store's list of entries and adds the listed
-// entries to the member table. It writes nothing if the list already has an equal
-// record of an earlier process: many processes may start at the same time.
+// register adds the listed entries to the member table and, if this entry is among
+// the first of its failure domain, writes it to the list. It writes nothing if the
+// list already has an equal record of an earlier process: many processes may start
+// at the same time. An entry reads the list while it knows no other entry, before it
+// registers, and then rarely.
 func (g *Gateway) register(ctx context.Context) error {
 	self, _ := g.table.Self()
 	self.Epoch = 0
-	registered := false
-	for ctx.Err() == nil {
+	start, delay := time.Now(), registerDelay
+	if g.process.Gateway().Bootstrap() {
+		delay = initialRegisterDelay
+		sleeper.Sleep(ctx, initialRegisterInterval)
+	}
+	registered, nextList := false, start.Add(g.listInterval())
+	for ; ctx.Err() == nil; sleeper.Sleep(ctx, registerInterval) {
+		now := time.Now()
+		live := g.table.Live(now)
+		candidate := !registered && now.Sub(start) > delay && tracker.RoleOf(self.Name, live).Rank < registeredPerDomain
+		if len(live) > 1 && !candidate && now.Before(nextList) {
+			continue
+		}
 		list, err := g.listEntries(ctx)
 		if err != nil {
 			g.log.Warn("reading the list of entries failed", "error", err.Error())
+			continue
 		}
-		g.table.MergeDescriptions(time.Now(), false, list...)
+		nextList = now.Add(g.listInterval())
+		g.table.MergeDescriptions(now, false, list...)
 		registered = registered || slices.ContainsFunc(list, func(m announcer.Member) bool { return reflect.DeepEqual(m, self) })
-		if !registered && err == nil {
+		if candidate && !registered {
 			registered = g.writeRegistration(ctx, self)
 		}
-		interval := max(minListInterval, listIntervalPerEntry*time.Duration(len(g.membership().all)))
-		if !registered || err != nil || len(list) < 2 {
-			interval = registerRetryInterval
-		}
-		sleeper.Sleep(ctx, interval)
 	}
 	return nil
 }
 
+// listInterval returns the time between two reads of the list of entries.
+func (g *Gateway) listInterval() time.Duration {
+	return max(minListInterval, listIntervalPerEntry*time.Duration(len(g.table.Live(time.Now()))))
+}
+
 func (g *Gateway) listEntries(ctx context.Context) ([]announcer.Member, error) {
 	limited, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/runner/register_test.go
+++ b/runner/register_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// awaitRegistered waits until the store lists the entry, and then two retry
-// intervals for any further writes.
+// awaitRegistered waits until the store lists the entry, and then for any further
+// writes.
 func (s *gatewayEnv) awaitRegistered(g *testGateway) {
 	s.t.Helper()
 	for start := time.Now(); ; time.Sleep(20 * time.Millisecond) {
@@ -21,7 +21,7 @@
 			s.t.Fatalf("got: %v, %v want: the entry in the list", list, err)
 		}
 	}
-	time.Sleep(2 * registerRetryInterval)
+	time.Sleep(registerDelay + 2*registerInterval)
 }
 
 // TestRegisterOnce restarts an entry at the same addresses, which must write
--- a/tracker/cluster_test.go
+++ b/tracker/cluster_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -125,8 +124,11 @@
 	trackers map[string]*Tracker
 	states   map[string]*State
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// live is replaced, not modified.
 	live []announcer.Member
+	// stops ends the process of an entry.
+	stops map[string]func()
 	// partitioned holds the entries that can't exchange messages with other
 	// entries.
 	partitioned map[string]bool
@@ -137,7 +139,7 @@
 func (c *cluster) members() []announcer.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.live)
+	return c.live
 }
 
 // visibleTo returns the members that an entry sees.
@@ -162,20 +164,32 @@
 	if partitioned {
 		return errors.New("no route")
 	}
-	body, err := json.Marshal(message)
+	body, err := transmit(message)
 	if err != nil {
 		return err
 	}
-	out, err := p.cluster.trackers[m.Name].Serve(ctx, path, body)
+	p.cluster.mu.Lock()
+	receiver := p.cluster.trackers[m.Name]
+	p.cluster.mu.Unlock()
+	out, err := receiver.Serve(ctx, path, body)
 	if err != nil {
 		return err
 	}
-	if body, err = json.Marshal(out); err != nil {
+	if body, err = transmit(out); err != nil {
 		return err
 	}
 	return json.Unmarshal(body, reply)
 }
 
+// transmit returns a message as the receiver decodes it.
+func transmit(message any) ([]byte, error) {
+	body, err := announcer.Pack(message)
+	if err != nil {
+		return nil, err
+	}
+	return body.Unpack()
+}
+
 // startCluster starts n entries in three failure domains.
 func startCluster(ctx context.Context, n int) *cluster { return startSeparated(ctx, n, 0) }
 
@@ -195,9 +209,10 @@
 		c.states[m.Name] = s
 		c.trackers[m.Name] = New(s, storeSource{c.store, m.Name}, peers{c, m.Name}, m.Name, func() []announcer.Member { return c.visibleTo(m) }, slog.New(slog.DiscardHandler))
 	}
-	for _, t := range c.trackers {
+	for name, t := range c.trackers {
 		if delay > 0 {
 			t.SetInitialStart()
+			t.SetContacts(func() []announcer.Member { return c.live[:1] }, name == c.live[0].Name)
 		}
 		go func() { _ = t.Follow(ctx, Configs) }()
 		go func() { _ = t.Disseminate(ctx) }()
@@ -223,7 +238,10 @@
 
 // version returns the configuration version of an entry's replica.
 func (c *cluster) version(name string) int64 {
-	for _, change := range c.states[name].All(Configs) {
+	c.mu.Lock()
+	state := c.states[name]
+	c.mu.Unlock()
+	for _, change := range state.All(Configs) {
 		return change.Config.Version
 	}
 	return 0
--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,14 +48,18 @@
 			}
 			sent[k] = u.Positions[k].AsOf
 		}
+		body, err := announcer.Pack(u)
+		if err != nil {
+			return errors.Trace(err)
+		}
 		for _, m := range recipients {
-			go t.send(ctx, m, u)
+			go t.send(ctx, m, body)
 		}
 	}
 	return nil
 }
 
-func (t *Tracker) send(ctx context.Context, m announcer.Member, u Update) {
+func (t *Tracker) send(ctx context.Context, m announcer.Member, u announcer.Packed) {
 	var none struct{}
 	if err := t.peers.Send(ctx, m, PathUpdate, u, &none); err != nil {
 		t.log.Debug("update not delivered to peer", "to", m.Name, "error", err.Error())
@@ -66,21 +71,20 @@
 // sender.
 func (t *Tracker) Receive(ctx context.Context, u Update) {
 	now := time.Now()
-	t.markUnreachable(u.Unreachable)
-	forward := len(u.Unreachable) > 0
+	forward := t.markUnreachable(u.Unreachable)
 	for _, d := range u.Deltas {
 		if d.Kind < 0 || d.Kind >= Kinds {
 			continue
 		}
 		if changes, err := t.state.Apply(now.Add(-u.Positions[d.Kind].Age), d); err == nil {
-			for _, c := range changes {
-				t.logChange(d.Kind, c, d.AsOf, u.From)
-			}
+			t.logChanges(d, changes, u.From)
+			forward = forward || len(changes) > 0
 		}
 	}
 	for k := range Kinds {
-		if t.state.ConfirmFresh(now.Add(-u.Positions[k].Age), k, u.Positions[k].AsOf) {
-			forward = true
+		known, newer := t.state.ConfirmFresh(now.Add(-u.Positions[k].Age), k, u.Positions[k].AsOf)
+		forward = forward || newer
+		if known {
 			continue
 		}
 		for _, m := range t.live() {
@@ -106,12 +110,43 @@
 	Delta    Delta    `json:"delta"`
 }
 
-// HandleQuery returns the reply to a query of another entry.
-func (t *Tracker) HandleQuery(q Query) (Reply, error) {
+// snapshotReply is an encoded reply with a snapshot.
+type snapshotReply struct {
+	mu   sync.Mutex
+	body announcer.Packed
+	// madeAt is when the reply was encoded.
+	madeAt time.Time
+}
+
+// snapshotReplyTTL is how long an encoded snapshot is reused: many entries may start
+// at the same time. The reply states an age that is greater by this time.
+const snapshotReplyTTL = 100 * time.Millisecond
+
+// reply returns the reply to a query of another entry: a Reply, or its encoding.
+func (t *Tracker) reply(q Query) (any, error) {
 	if q.Kind < 0 || q.Kind >= Kinds {
-		return Reply{}, errors.NotValidf("kind %d", int(q.Kind))
+		return nil, errors.NotValidf("kind %d", int(q.Kind))
+	}
+	if q.After > 0 {
+		return Reply{Position: t.state.Position(time.Now(), q.Kind), Delta: t.state.Since(q.Kind, q.After)}, nil
+	}
+	s := &t.replies[q.Kind]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.body != nil && now.Sub(s.madeAt) < snapshotReplyTTL {
+		return s.body, nil
+	}
+	r := Reply{Position: t.state.Position(now, q.Kind), Delta: t.state.Since(q.Kind, 0)}
+	r.Position.Age += snapshotReplyTTL
+	body, err := announcer.Pack(r)
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
-	return Reply{Position: t.state.Position(time.Now(), q.Kind), Delta: t.state.Since(q.Kind, q.After)}, nil
+	if r.Position.AsOf > 0 {
+		s.body, s.madeAt = body, now
+	}
+	return body, nil
 }
 
 // Serve handles a message of another entry and returns the reply.
@@ -129,40 +164,58 @@
 		if err := json.Unmarshal(body, &q); err != nil {
 			return nil, errors.Trace(err)
 		}
-		return t.HandleQuery(q)
+		return t.reply(q)
 	default:
 		return nil, errors.NotFoundf("path %q", path)
 	}
 }
 
-// queryPeers fetches missing changes of a kind from up to peersQueried other
-// entries, chosen at random. It is used when the store can't be read.
-func (t *Tracker) queryPeers(ctx context.Context, k Kind) {
+// queryPeers fetches missing changes of a kind from two other entries: a reader of
+// the failure domain and any other one, both chosen at random. It returns the
+// number of entries that replied.
+func (t *Tracker) queryPeers(ctx context.Context, k Kind, role Role) int {
 	live := t.live()
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	queried := 0
-	for _, m := range live {
-		if m.Name != t.self && queried < peersQueried {
-			queried++
-			t.fetch(ctx, m, k)
+	queried := make([]announcer.Member, 0, 2)
+	if n := len(role.Readers); n > 0 {
+		queried = append(queried, role.Readers[rand.N(n)])
+	}
+	if n := len(live); n > 1 {
+		i := rand.N(n)
+		if live[i].Name == t.self {
+			i = (i + 1) % n
+		}
+		queried = append(queried, live[i])
+	} else if t.contacts != nil {
+		if contacts := t.contacts(); len(contacts) > 0 {
+			queried = append(queried, contacts[rand.N(len(contacts))])
+		}
+	}
+	replied := 0
+	for _, m := range queried {
+		if t.fetch(ctx, m, k) {
+			replied++
 		}
 	}
+	return replied
 }
 
 // fetch queries one entry for the changes of a kind that the replica lacks and
-// applies them.
-func (t *Tracker) fetch(ctx context.Context, m announcer.Member, k Kind) {
+// applies them. It reports whether the entry replied.
+func (t *Tracker) fetch(ctx context.Context, m announcer.Member, k Kind) bool {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
 	var r Reply
 	q := Query{Kind: k, After: t.state.Position(time.Now(), k).AsOf}
 	sentAt := time.Now()
 	if err := t.peers.Send(ctx, m, PathState, q, &r); err != nil {
 		t.log.Debug("state query to peer failed", "peer", m.Name, "error", err.Error())
-		return
+		return false
 	}
 	if r.Delta.Kind != k || r.Delta.AsOf == 0 {
-		return
+		return true
 	}
 	if err := t.apply(sentAt.Add(-r.Position.Age), r.Delta, m.Name); err != nil {
 		t.log.Debug("state of peer not applied", "peer", m.Name, "error", err.Error())
 	}
+	return true
 }
--- a/tracker/reachability.go
+++ b/tracker/reachability.go
@@ -13,20 +13,34 @@
 func (t *Tracker) storeReachable(now time.Time) []announcer.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.DeleteFunc(t.live(), func(m announcer.Member) bool { return now.Before(t.unreachable[m.Name]) })
+	live := t.live()
+	if len(t.unreachable) == 0 {
+		return live
+	}
+	return slices.DeleteFunc(slices.Clone(live), func(m announcer.Member) bool { return now.Before(t.unreachable[m.Name]) })
 }
 
+// minMarkExtension is the least time by which a mark is extended. The remaining
+// duration in an update becomes inaccurate by the time that the update takes.
+const minMarkExtension = 200 * time.Millisecond
+
 // markUnreachable marks entries as unable to reach the store for the given
-// durations, each limited to unreachableTTL. It never shortens a mark.
-func (t *Tracker) markUnreachable(entries map[string]time.Duration) {
+// durations, each limited to unreachableTTL. It never shortens a mark. It reports
+// whether a mark is new or was extended.
+func (t *Tracker) markUnreachable(entries map[string]time.Duration) bool {
 	now := time.Now()
+	extended := false
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, d := range entries {
-		if until := now.Add(min(d, unreachableTTL)); until.After(t.unreachable[name]) {
-			t.unreachable[name] = until
+		if until := now.Add(min(d, unreachableTTL)); until.Sub(t.unreachable[name]) > minMarkExtension {
+			t.unreachable[name], extended = until, true
 		}
 	}
+	if extended {
+		t.cachedAt = time.Time{}
+	}
+	return extended
 }
 
 // unreachableEntries returns the remaining duration of each mark and deletes
@@ -49,5 +63,9 @@
 	if _, ok := unreachable[t.self]; ok {
 		return RoleOf(t.self, t.live()).Recipients
 	}
-	return t.role().Recipients
+	role := t.role(time.Now())
+	if t.takeDeputizing() {
+		return role.Deputed
+	}
+	return role.Recipients
 }
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -237,18 +237,20 @@
 }
 
 // ConfirmFresh records that revision asOf was the store's newest at fresh. It
-// reports false if the replica is older than asOf.
-func (s *State) ConfirmFresh(fresh time.Time, k Kind, asOf uint64) bool {
+// reports whether the replica has that revision, and whether this confirmed it at a
+// later time than known before.
+func (s *State) ConfirmFresh(fresh time.Time, k Kind, asOf uint64) (known, newer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &s.kinds[k]
 	if asOf > r.asOf {
-		return false
+		return false, false
 	}
-	if asOf == r.asOf && fresh.After(r.fresh) {
+	newer = asOf == r.asOf && fresh.After(r.fresh)
+	if newer {
 		r.fresh = fresh
 	}
-	return true
+	return true, newer
 }
 
 // All returns the objects of a kind in order of name.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -63,6 +63,11 @@
 	staleAge = 1050 * time.Millisecond
 	// checkInterval is how often an entry checks the age of its replica.
 	checkInterval = 100 * time.Millisecond
+	// rankDelay is the additional age at which each further reader of a failure
+	// domain reads the store, so that the updates of the one before arrive first.
+	// An entry that is not a reader queries others at queryAge.
+	rankDelay = 100 * time.Millisecond
+	queryAge  = staleAge + readersPerDomain*rankDelay
 	// readBackoff is the pause after a failed read, plus up to the same time
 	// again at random. Each further failure doubles the time for which an entry
 	// that does not have to watch sends no reads to the store, up to
@@ -70,10 +75,14 @@
 	// store usually affects all entries. Meanwhile entries query each other, and
 	// so receive the state from the first entry that reaches the store again.
 	readBackoff    = 250 * time.Millisecond
-	maxReadBackoff = 2 * time.Second
-	// peersQueried is the number of other entries that are queried when the
-	// store can't be read.
-	peersQueried = 2
+	maxReadBackoff = time.Second
+	// readPacePerEntry is the mean interval between the reads of a failure domain
+	// by entries that are not readers and whose peers' replicas are old too: one
+	// of them may reach the store although the readers can't.
+	readPacePerEntry = 500 * time.Millisecond
+	// queryTimeout bounds the wait for the reply of a queried entry, which is
+	// milliseconds away.
+	queryTimeout = 200 * time.Millisecond
 )
 
 // Tracker keeps a State up to date.
@@ -92,64 +101,152 @@
 	// for the membership to settle.
 	start  time.Time
 	settle time.Duration
+	// initial is set at the first start of the whole deployment. An entry without
+	// a replica lists the store's objects acquireDelay after its start.
+	initial      bool
+	acquireDelay time.Duration
+	// contacts returns the entries to query while no other is known to be live. It
+	// may be nil.
+	contacts func() []announcer.Member
+	// replies holds the encoded snapshots that queries are answered with.
+	replies [Kinds]snapshotReply
 
 	mu sync.Mutex
 	// failures counts consecutive failed reads. Until nextRead this entry does
 	// not read the store unless it is the one that watches.
 	failures int
 	nextRead time.Time
+	// cached is the role as of cachedAt.
+	cached   Role
+	cachedAt time.Time
+	// deputizing is set if the next update is sent in place of the domain's head.
+	deputizing bool
 	// unreachable holds the entries that could not reach the store when they
 	// watched it, and the time until which they are not selected to watch it.
 	unreachable map[string]time.Time
 }
 
 // New returns a tracker of the source for the entry named self. The function
-// live returns the live entries in order of name, including this one.
+// live returns the live entries in order of name, including this one; the tracker
+// does not modify the slice.
 func New(s *State, source Source, peers Peers, self string, live func() []announcer.Member, log *slog.Logger) *Tracker {
-	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, updated: make(chan struct{}, 1), start: time.Now(), settle: settleTime, unreachable: make(map[string]time.Time)}
+	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, updated: make(chan struct{}, 1), start: time.Now(), settle: settleTime, acquireDelay: 1 + rand.N(acquireSpread), unreachable: make(map[string]time.Time)}
 }
 
-// SetInitialStart selects the settling time for the first start of the whole
-// deployment. It must be called before Follow.
-func (t *Tracker) SetInitialStart() { t.settle = initialSettleTime }
+// SetInitialStart selects the delays for the first start of the whole deployment. It
+// must be called before Follow.
+func (t *Tracker) SetInitialStart() {
+	t.settle, t.initial = initialSettleTime, true
+	t.acquireDelay = initialAcquireDelay + rand.N(initialAcquireSpread)
+}
+
+// SetContacts sets the function that returns the entries to query for a first
+// replica while no other is known to be live. If this entry is a seed, it reads the
+// store at once: the others query it. SetContacts must be called before Follow and
+// after SetInitialStart.
+func (t *Tracker) SetContacts(contacts func() []announcer.Member, isSeed bool) {
+	t.contacts = contacts
+	if isSeed {
+		t.acquireDelay = 0
+	}
+}
 
 // Follow keeps the replica of one kind up to date until ctx ends.
 func (t *Tracker) Follow(ctx context.Context, k Kind) error {
+	nextPaced := time.Time{}
 	for ctx.Err() == nil {
-		position := t.state.Position(time.Now(), k)
-		settled := time.Since(t.start) - t.settle
-		watch := settled > 0 && t.role().Watch
-		var err error
+		now := time.Now()
+		position, role := t.state.Position(now, k), t.role(now)
+		settled := now.Sub(t.start) - t.settle
+		age := min(position.Age, settled)
 		switch {
 		case position.AsOf == 0:
-			// A stale list is sufficient, since later changes are applied to it.
-			err = t.list(ctx, k, true)
-		case watch:
-			err = t.watch(ctx, k, position.AsOf, alignedWait(time.Now()))
-		case min(position.Age, settled) > staleAge && t.mayRead(time.Now()):
-			err = t.watch(ctx, k, position.AsOf, time.Millisecond)
-		case min(position.Age, settled) > staleAge:
-			t.queryPeers(ctx, k)
-			sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
-			continue
+			t.acquire(ctx, k)
+		case settled > 0 && role.Watch:
+			t.read(ctx, k, role, position, alignedWait(now))
+		case age <= readAge(role):
+			sleeper.Sleep(ctx, min(checkInterval, readAge(role)-age+time.Millisecond))
+		case role.Rank < readersPerDomain && t.mayRead(now):
+			t.read(ctx, k, role, position, time.Millisecond)
 		default:
-			sleeper.Sleep(ctx, min(checkInterval, max(staleAge-min(position.Age, settled), 0)+time.Millisecond))
-			continue
-		}
-		t.setReachable(k, err)
-		t.recordRead(time.Now(), err)
-		if err != nil {
-			if watch {
-				t.markUnreachable(map[string]time.Duration{t.self: unreachableTTL})
-				t.signalUpdate()
+			replied := t.queryPeers(ctx, k, role)
+			fresh := t.state.Position(time.Now(), k).Age <= staleAge
+			paced := !now.Before(nextPaced)
+			if paced {
+				nextPaced = now.Add(rand.N(2*readPacePerEntry*time.Duration(max(role.Size, 1))) + readBackoff)
+			}
+			switch {
+			case fresh:
+			case t.mayRead(now) && (replied == 0 || paced):
+				t.read(ctx, k, role, position, time.Millisecond)
+			default:
+				sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
 			}
-			t.queryPeers(ctx, k)
-			sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
 		}
 	}
 	return nil
 }
 
+// readAge returns the age of the replica at which an entry reads the store or, if
+// it is not a reader, queries other entries.
+func readAge(r Role) time.Duration {
+	return staleAge + time.Duration(min(r.Rank, readersPerDomain))*rankDelay
+}
+
+// acquire obtains the first replica of a kind: from an entry that has one, and from
+// the store if none has replied after some time. Many entries may start at the same
+// time.
+func (t *Tracker) acquire(ctx context.Context, k Kind) {
+	now := time.Now()
+	wait := t.acquireDelay - now.Sub(t.start)
+	if wait > 0 || !t.mayRead(now) {
+		queried := make(chan struct{})
+		go func() {
+			defer close(queried)
+			t.queryPeers(ctx, k, t.role(now))
+		}()
+		select {
+		case <-queried:
+			wait = acquireInterval
+		case <-time.After(max(wait, acquireInterval)):
+			wait = 0
+		}
+		if t.state.Position(time.Now(), k).AsOf > 0 {
+			return
+		}
+		sleeper.Sleep(ctx, wait)
+		return
+	}
+	err := t.list(ctx, k, true)
+	if err == nil && !t.initial {
+		// The stale list may name upstreams that have left since.
+		err = t.watch(ctx, k, t.state.Position(time.Now(), k).AsOf, time.Millisecond)
+	}
+	t.setReachable(k, err)
+	t.recordRead(time.Now(), err)
+}
+
+// read reads the changes since a position from the store. A reader that receives no
+// updates, although it is not the head of its failure domain, sends them on in place
+// of the head. After a failure other entries are queried.
+func (t *Tracker) read(ctx context.Context, k Kind, role Role, position Position, wait time.Duration) {
+	if role.Rank > 0 && role.Rank < readersPerDomain {
+		t.setDeputizing()
+	}
+	err := t.watch(ctx, k, position.AsOf, wait)
+	t.setReachable(k, err)
+	t.recordRead(time.Now(), err)
+	if err == nil {
+		return
+	}
+	if role.Watch {
+		t.markUnreachable(map[string]time.Duration{t.self: unreachableTTL})
+		t.signalUpdate()
+	}
+	t.queryPeers(ctx, k, role)
+	sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
+}
+
 const (
 	// settleTime is how long an entry that has just started waits for the
 	// membership before it may watch the store, since all entries may have
@@ -162,6 +259,16 @@
 	// until every entry has the membership; until then each of them would read
 	// the store.
 	initialSettleTime = 3500 * time.Millisecond
+	// An entry without a replica queries others, and lists the store's objects
+	// itself after a random part of acquireSpread: callers wait if all entries were
+	// restarted. At the first start of the whole deployment there are no callers
+	// yet, so it waits for initialAcquireDelay and a random part of
+	// initialAcquireSpread, while the first entries that have a replica pass it on.
+	acquireSpread        = 40 * time.Millisecond
+	initialAcquireDelay  = 250 * time.Millisecond
+	initialAcquireSpread = 3 * time.Second
+	// acquireInterval is the pause between two queries without a replica.
+	acquireInterval = 40 * time.Millisecond
 	// unreachableTTL is how long an entry that could not reach the store does
 	// not watch it.
 	unreachableTTL = 5 * time.Second
@@ -191,8 +298,41 @@
 // maxDoublings prevents the overflow of a time.Duration.
 const maxDoublings = 10
 
+// roleTTL is how long a role is reused.
+const roleTTL = 90 * time.Millisecond
+
 // role returns this entry's role among the entries that can reach the store.
-func (t *Tracker) role() Role { return RoleOf(t.self, t.storeReachable(time.Now())) }
+func (t *Tracker) role(now time.Time) Role {
+	t.mu.Lock()
+	if !t.cachedAt.IsZero() && now.Sub(t.cachedAt) < roleTTL {
+		defer t.mu.Unlock()
+		return t.cached
+	}
+	t.mu.Unlock()
+	r := RoleOf(t.self, t.storeReachable(now))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cached, t.cachedAt = r, now
+	return r
+}
+
+// setDeputizing makes the next update go to the entries that the head of the
+// domain sends to.
+func (t *Tracker) setDeputizing() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.deputizing = true
+}
+
+// takeDeputizing reports whether the next update is sent in place of the domain's
+// head, and resets this.
+func (t *Tracker) takeDeputizing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.deputizing
+	t.deputizing = false
+	return d
+}
 
 // alignedWait returns how long a watch that starts now waits. The watches of
 // all kinds end at the same multiples of watchWait, so that one update covers
@@ -240,15 +380,21 @@
 	return err == nil
 }
 
+// maxStaleness is the assumed age of a stale list.
+const maxStaleness = 10 * time.Second
+
 func (t *Tracker) list(ctx context.Context, k Kind, stale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	fresh := time.Now()
 	d, err := t.source.List(ctx, k, stale)
 	if err != nil {
 		return err
 	}
-	return t.apply(sentAt, d, "store")
+	if stale {
+		fresh = fresh.Add(-maxStaleness)
+	}
+	return t.apply(fresh, d, "store")
 }
 
 func (t *Tracker) watch(ctx context.Context, k Kind, after uint64, wait time.Duration) error {
@@ -274,11 +420,23 @@
 	if err != nil {
 		return err
 	}
+	t.logChanges(d, changes, from)
+	t.signalUpdate()
+	return nil
+}
+
+// maxLoggedChanges is the number of changes of one delta that are logged one by
+// one. The first replica alone may have hundreds.
+const maxLoggedChanges = 32
+
+func (t *Tracker) logChanges(d Delta, changes []Change, from string) {
+	if len(changes) > maxLoggedChanges {
+		t.log.Info("objects updated", "kind", d.Kind.String(), "objects", len(changes), "snapshot", d.Snapshot, "asof", d.AsOf, "from", from)
+		return
+	}
 	for _, c := range changes {
 		t.logChange(d.Kind, c, d.AsOf, from)
 	}
-	t.signalUpdate()
-	return nil
 }
 
 func (t *Tracker) logChange(k Kind, c Change, asOf uint64, from string) {
