forwarder: retry allowance by load, bounded over the window

Of the load-independent allowance, entries used 0.4 of it at most, in equal portions, since load that moves between entries or a restart would let them spend it twice.

Change: 0.45 of the allowance is shared by load, of which each entry uses the minimum over the budget's window, so that the sum is bounded however load moves and an entry that starts has none of it; 0.25 and 0.05 in equal portions as before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,9 @@
 	Total, Assigned int
 	// IsAssigned reports whether this entry is assigned to the service.
 	IsAssigned bool
+	// LoadFraction is this entry's fraction of the load of the assigned entries, 0
+	// if it is not one of them. Those of all entries add up to 1.
+	LoadFraction float64
 	// ProbeFraction is the fraction of the load probes to an upstream that this
 	// entry may send, by the upstream's scope.
 	ProbeFraction [placer.Scopes]float64
@@ -49,7 +54,7 @@
 	// 16 MiB.
 	MaxResponseBody int
 	// Entries returns the current set of entries and their assignment to a
-	// service. It is called for each request. Nil means a single entry.
+	// service. Nil means a single entry.
 	Entries func(service string) EntrySet
 	// Refresh loads the newest configuration that is available before ctx
 	// expires. It is called when a request matches no route. Nil disables it.
@@ -102,7 +107,7 @@
 	}
 	if o.Entries == nil {
 		o.Entries = func(string) EntrySet {
-			return EntrySet{Total: 1, Assigned: 1, IsAssigned: true, ProbeFraction: [placer.Scopes]float64{1, 1}}
+			return EntrySet{Total: 1, Assigned: 1, IsAssigned: true, LoadFraction: 1, ProbeFraction: [placer.Scopes]float64{1, 1}}
 		}
 	}
 	if o.Log == nil {
@@ -164,11 +169,24 @@
 	if s == nil {
 		s = &service{name: name, serviceTimes: make(map[string]*placer.ServiceTime)}
 		s.fleet.Domain = f.options.Domain
+		s.updateLimits(f.options, time.Now())
 		f.services[name] = s
 	}
 	return s
 }
 
+// UpdateLimits updates the limits that depend on the set of entries. It is to be
+// called whenever the set or the load of entries may have changed, at least a few
+// times per window of the retry budget.
+func (f *Forwarder) UpdateLimits() {
+	f.mu.Lock()
+	services := slices.Collect(maps.Values(f.services))
+	f.mu.Unlock()
+	for _, s := range services {
+		s.updateLimits(f.options, time.Now())
+	}
+}
+
 // Concurrent implements pipeliner.Handler: idempotent requests run concurrently.
 func (f *Forwarder) Concurrent(c *pipeliner.Call) bool {
 	t := f.table.Load()
@@ -227,7 +245,7 @@
 	if svc := t.Service(name); svc != nil {
 		x.healthURI, x.maxConns = svc.HealthPath, svc.MaxConns
 	}
-	x.serviceTime = x.service.admit(f.options, x.route.Name, time.Now())
+	x.serviceTime = x.service.admit(x.route.Name, time.Now())
 	return x, nil
 }
 
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -15,6 +15,8 @@
 	mu          sync.Mutex
 	fleet       placer.Fleet
 	retryBudget limiter.RetryBudget
+	// loadFraction is EntrySet.LoadFraction over the window of the retry budget.
+	loadFraction limiter.SlidingMinimum
 	queue       limiter.Queue[*exchange]
 	// serviceTimes holds the average service time at this entry, by route.
 	serviceTimes map[string]*placer.ServiceTime
@@ -38,14 +40,16 @@
 	// together stay within the budget. The margin covers the error of counting
 	// in buckets instead of over an exact window.
 	retryFraction = 0.95
-	// assignedAllowanceFraction is the fraction of the load-independent retry
-	// allowance for the entries assigned to a service, and
-	// unassignedAllowanceFraction that for all other entries. The margin is
-	// for entries that disagree on the assignment, for replacements of
-	// assigned entries, which have an allowance of their own, and for an entry
-	// that restarts, which can spend its allowance again.
-	assignedAllowanceFraction   = 0.3
-	unassignedAllowanceFraction = 0.1
+	// The load-independent retry allowance has three parts. Entries assigned to a
+	// service share loadAllowanceFraction of it by their load, and
+	// assignedAllowanceFraction equally; unassignedAllowanceFraction is for all
+	// other entries. The part by load is the minimum over the budget's window, so
+	// that it is bounded however load moves, and an entry that starts has none. The
+	// margin is for entries that start, which can spend their equal portions again,
+	// and for entries that disagree on the assignment.
+	loadAllowanceFraction       = 0.45
+	assignedAllowanceFraction   = 0.25
+	unassignedAllowanceFraction = 0.05
 )
 
 // serviceTime returns the average service time of a route at this entry. The
@@ -65,9 +69,16 @@
 	s.fleet.Remove(id)
 }
 
-// admit counts a request of a route and updates the limits that depend on the
-// set of entries. It returns the service time of the route.
-func (s *service) admit(o Options, route string, now time.Time) *placer.ServiceTime {
+// admit counts a request of a route. It returns the service time of the route.
+func (s *service) admit(route string, now time.Time) *placer.ServiceTime {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget.Count(now)
+	return s.serviceTime(route)
+}
+
+// updateLimits updates the limits that depend on the set of entries.
+func (s *service) updateLimits(o Options, now time.Time) {
 	entries := o.Entries(s.name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,13 +86,15 @@
 	for scope, fraction := range entries.ProbeFraction {
 		s.fleet.ProbeRates[scope] = fraction * o.ProbeRate
 	}
-	allowance := unassignedAllowanceFraction * o.RetryBudget.Allowance / float64(entries.Total)
+	b := o.RetryBudget
+	s.loadFraction.SetWindow(b.Window)
+	s.loadFraction.Sample(now, entries.LoadFraction)
+	fraction := unassignedAllowanceFraction / float64(entries.Total)
 	if entries.IsAssigned {
-		allowance = assignedAllowanceFraction * o.RetryBudget.Allowance / float64(entries.Assigned)
+		fraction = assignedAllowanceFraction / float64(entries.Assigned)
 	}
-	s.retryBudget.Set(retryFraction*o.RetryBudget.Ratio, allowance, o.RetryBudget.Window)
-	s.retryBudget.Count(now)
-	return s.serviceTime(route)
+	fraction += loadAllowanceFraction * s.loadFraction.Value(now)
+	s.retryBudget.Set(retryFraction*b.Ratio, fraction*b.Allowance, b.Window)
 }
 
 // dispatchQueued dequeues requests to be placed, up to maxPlacing at a time.
--- a/limiter/scripts_test.go
+++ b/limiter/scripts_test.go
@@ -87,3 +87,27 @@
 		}
 	})
 }
+
+// TestSlidingMinimum runs scripts that sample values of a window of 1000 ms.
+func TestSlidingMinimum(t *testing.T) {
+	scripter.Run(t, "testdata/sliding_minimum*.txt", func(t *testing.T) func([]string) string {
+		var m SlidingMinimum
+		m.SetWindow(time.Second)
+		return func(args []string) string {
+			ms, err := strconv.Atoi(args[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond)
+			if args[0] == "value" {
+				return fmt.Sprint(m.Value(now))
+			}
+			value, err := strconv.ParseFloat(args[2], 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.Sample(now, value)
+			return ""
+		}
+	})
+}
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -186,15 +186,28 @@
 func (g *Gateway) entries(service string) forwarder.EntrySet {
 	s := g.membership()
 	e := forwarder.EntrySet{Total: max(1, len(s.all)), ProbeFraction: s.probeFractions}
+	total, own := 0.0, 0.0
 	for d := range s.byDomain {
 		list := s.assigned(service, d)
 		e.Assigned += len(list)
-		e.IsAssigned = e.IsAssigned || slices.ContainsFunc(list, func(m announcer.Member) bool { return m.Name == g.process.Name() })
+		for _, m := range list {
+			total += m.Load + baseLoad
+			if m.Name == g.process.Name() {
+				e.IsAssigned, own = true, m.Load+baseLoad
+			}
+		}
 	}
 	e.Assigned = max(1, e.Assigned)
+	if total > 0 {
+		e.LoadFraction = own / total
+	}
 	return e
 }
 
+// baseLoad is added to the load of each assigned entry, in requests per second, so
+// that an entry without load yet has a fraction of the retries.
+const baseLoad = 1
+
 // rateEstimator derives a rate from a counter by an exponentially weighted moving
 // average that follows a rise within a second and a fall in several seconds, so
 // that short lulls do not change which entries serve a service.
@@ -234,6 +247,7 @@
 func (g *Gateway) reportStatus(ctx context.Context) error {
 	var arrivals rateEstimator
 	for ctx.Err() == nil {
+		g.forwarder.UpdateLimits()
 		ready, interval := g.ready(), g.process.HeartbeatInterval()
 		g.table.SetLoad(ready, math.Round(arrivals.update(time.Now(), g.forwarder.Arrived())))
 		if !ready {
