--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -17,7 +17,7 @@
 	retryBudget limiter.RetryBudget
 	// loadFraction is EntrySet.LoadFraction over the window of the retry budget.
 	loadFraction limiter.SlidingMinimum
-	queue       limiter.Queue[*exchange]
+	queue        limiter.Queue[*exchange]
 	// serviceTimes holds the average service time at this entry, by route.
 	serviceTimes map[string]*placer.ServiceTime
 	// placing counts dequeued requests that are being placed.
