forwarder: no attempt without time for a response

Change: an attempt needs at least the time in which a response may arrive, 0.8 of the route's average service time and 5 ms. A request that has less left when its turn comes is rejected at once. TestNoRetryWithoutTime failed before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -135,14 +135,14 @@
 	if len(x.attempted) >= x.route.Attempts {
 		return errNoRetry
 	}
-	if !time.Now().Before(x.deadline) {
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	if !x.hasTime(time.Now()) {
 		return errTimeout
 	}
 	if !o.sent {
 		return nil
 	}
-	x.service.mu.Lock()
-	defer x.service.mu.Unlock()
 	if !x.service.retryBudget.Spend(time.Now()) {
 		return errNoRetry
 	}
@@ -165,9 +165,19 @@
 }
 
 // minServiceTime returns the least service time to expect: a request with less
-// time left is not worth sending.
+// time left is not worth sending. The lock of the service must be held.
 func (x *exchange) minServiceTime() time.Duration {
-	return time.Duration(minServiceFraction * float64(x.serviceTime.Average()))
+	return max(minAttemptTime, time.Duration(minServiceFraction*float64(x.serviceTime.Average())))
+}
+
+// minAttemptTime is the time in which no upstream responds, with a load probe and
+// the transfers.
+const minAttemptTime = 5 * time.Millisecond
+
+// hasTime reports whether a response to an attempt that starts now may arrive
+// before the deadline. The lock of the service must be held.
+func (x *exchange) hasTime(now time.Time) bool {
+	return !now.Add(x.minServiceTime()).After(x.deadline)
 }
 
 // minServiceFraction is the fraction of the average service time below which a
@@ -190,6 +200,10 @@
 		s.mu.Unlock()
 		return candidate{}, errNoUpstream
 	}
+	if !x.hasTime(now) {
+		s.mu.Unlock()
+		return candidate{}, errTimeout
+	}
 	ahead := s.queue.Ahead(now, x.queuePriority())
 	s.mu.Unlock()
 	for queued := ahead > 0; ; queued = true {
--- a/forwarder/fault_test.go
+++ b/forwarder/fault_test.go
@@ -102,7 +102,7 @@
 	orderSucceeds := map[fault]bool{
 		healthy: true, refused: true, shed: true, misdirected: true, noLength: true, excess: true, staleFirst: true, closeAfter: true,
 	}
-	delayed := map[fault]bool{runAndHang: true, runSlowly: true}
+	delayed := map[fault]bool{runAndHang: true, runSlowly: true, failedLate: true}
 	for _, path := range []string{"/read/1", "/order/1"} {
 		for _, injected := range faults {
 			if delayed[injected] || path == "/order/1" && !orderSucceeds[injected] {
@@ -123,3 +123,23 @@
 		}
 	}
 }
+
+// TestNoRetryWithoutTime fails a request just before its deadline. It must not be
+// sent again, since no response could arrive in time: the caller gets the failure.
+func TestNoRetryWithoutTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{runs: map[string]int{}, plan: []fault{failedLate}}
+		f := tb.newEntry(t, 3)
+		if got := send(f, "/read/1", "r").StatusCode(); got != 500 {
+			t.Errorf("got: status %d want: 500", got)
+		}
+		time.Sleep(5 * time.Second)
+		tb.mu.Lock()
+		if got := tb.runs["r"]; got != 1 {
+			t.Errorf("got: %d runs want: 1", got)
+		}
+		tb.mu.Unlock()
+		tb.close()
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -59,6 +59,7 @@
 	runAndHang   fault = "hangs while running"
 	runSlowly    fault = "responds after the deadline"
 	failed       fault = "fails after running"
+	failedLate   fault = "fails just before the deadline"
 	shed         fault = "sheds"
 	misdirected  fault = "address of another upstream"
 	truncated    fault = "response truncated"
@@ -72,7 +73,7 @@
 )
 
 var faults = []fault{
-	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, shed, misdirected,
+	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, shed, misdirected,
 	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter,
 }
 
@@ -194,7 +195,10 @@
 	case runSlowly:
 		time.Sleep(3 * time.Second)
 		return complete("")
-	case failed:
+	case failed, failedLate:
+		if f == failedLate {
+			time.Sleep(1499 * time.Millisecond)
+		}
 		return write("HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", id)
 	case truncated:
 		write("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 9\r\n\r\nwho", id)
