forwarder: an overdue idempotent request goes to another upstream

Ruled out: attempts side by side, which occupy a second slot; a shorter time-out without a look at the budget, which would end requests sooner than their deadline.

Change: a response that takes three times as long as expected is abandoned for another upstream if a retry is left and there is time. The connection is watched for its first byte, so that a request without a retry goes on.

TestOverdueResponse failed before: 504 after 1.5 s.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -26,6 +26,7 @@
 	errTimeout      = errors.ConstError("time limit passed")
 	errNoRetry      = errors.ConstError("not run, and no retry is left")
 	errIncomplete   = errors.ConstError("upstream gave no whole answer")
+	errOverdue      = errors.ConstError("response is overdue")
 )
 
 // exchange is the state of one request from arrival to response.
@@ -140,7 +141,7 @@
 	if !x.hasTime(time.Now()) {
 		return errTimeout
 	}
-	if !o.sent {
+	if !o.sent || o.overdue {
 		return nil
 	}
 	if !x.service.retryBudget.Spend(time.Now()) {
--- a/forwarder/fault_test.go
+++ b/forwarder/fault_test.go
@@ -143,3 +143,49 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// TestOverdueResponse sends a request to an upstream that never responds, once the
+// usual duration of requests is known. An idempotent one is sent to another upstream
+// in time, but not without a retry budget; one that must not run twice is not sent
+// again, and its caller is not told that it did not run.
+func TestOverdueResponse(t *testing.T) {
+	for _, tc := range []struct {
+		name, path   string
+		budget       float64
+		status, runs int
+	}{
+		{"idempotent", "/read/1", 1, 200, 2},
+		{"no budget", "/read/1", 0, 504, 1},
+		{"at most once", "/order/1", 1, 504, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := &testbed{runs: map[string]int{}, work: 50 * time.Millisecond}
+				f := tb.newEntry(t, 3)
+				for i := range 8 {
+					send(f, tc.path, fmt.Sprint("warm", i))
+				}
+				f.options.RetryBudget.Ratio, f.options.RetryBudget.Allowance = tc.budget, 0
+				f.UpdateLimits()
+				tb.mu.Lock()
+				tb.plan = []fault{runAndHang}
+				tb.mu.Unlock()
+				start := time.Now()
+				if got := send(f, tc.path, "r").StatusCode(); got != tc.status {
+					t.Errorf("got: status %d want: %d", got, tc.status)
+				}
+				if took := time.Since(start); tc.status == 200 && took > 500*time.Millisecond {
+					t.Errorf("got: a response after %v want: within 500 ms", took)
+				}
+				time.Sleep(5 * time.Second)
+				tb.mu.Lock()
+				if got := tb.runs["r"]; got != tc.runs {
+					t.Errorf("got: %d runs want: %d", got, tc.runs)
+				}
+				tb.mu.Unlock()
+				tb.close()
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -26,6 +26,9 @@
 	// disconnected reports whether the attempt was aborted because the caller
 	// disconnected.
 	disconnected bool
+	// overdue reports whether the attempt was aborted because its response was
+	// overdue. A retry has been taken from the budget for this.
+	overdue bool
 	err          error
 }
 
@@ -62,7 +65,7 @@
 		o.err = cand.err
 	} else {
 		x.attempted = append(x.attempted, cand.upstream)
-		x.roundTrip(cand.conn, cand.upstream, &o)
+		x.roundTrip(cand, &o)
 	}
 	x.service.finishAttempt(cand.attempt, o.result(), x.serviceTime)
 	return o
@@ -70,12 +73,15 @@
 
 // roundTrip sends the request and reads the response, then returns the
 // connection to the pool or discards it.
-func (x *exchange) roundTrip(c *pooler.Conn, u *placer.Upstream, o *outcome) {
-	f := x.forwarder
+func (x *exchange) roundTrip(cand candidate, o *outcome) {
+	f, c, u := x.forwarder, cand.conn, cand.upstream
 	c.Reset()
 	c.SetDeadline(x.deadline)
 	stop := x.abortOnDisconnect(c)
 	o.err = x.writeRequest(c, u)
+	if o.err == nil && x.overdue(c, cand.attempt) {
+		o.overdue, o.err = true, errOverdue
+	}
 	if o.err == nil {
 		o.resp, o.err = x.readResponse(c)
 	}
@@ -97,6 +103,40 @@
 	f.pool.Put(c)
 }
 
+// overdueFactor is the multiple of the expected duration after which a response is
+// overdue. Fewer than one in a hundred responses take that long at a healthy
+// upstream.
+const overdueFactor = 3
+
+// overdue waits for the first byte of a response to an idempotent request, for a
+// multiple of its expected duration. It reports whether the request is to be sent to
+// another upstream instead: the response is overdue, the other one has time to
+// respond, and a retry could be taken from the budget. Some upstreams never respond
+// to requests that they have no room for.
+func (x *exchange) overdue(c *pooler.Conn, a *placer.Attempt) bool {
+	if !x.route.Idempotent || len(x.attempted) >= x.route.Attempts {
+		return false
+	}
+	s := x.service
+	s.mu.Lock()
+	expected := s.fleet.ExpectedDuration(a, x.serviceTime)
+	minimum := x.minServiceTime()
+	s.mu.Unlock()
+	limit := time.Now().Add(overdueFactor * expected)
+	if expected == 0 || limit.Add(minimum).After(x.deadline) {
+		return false
+	}
+	responded := c.AwaitResponse(x.caller, limit)
+	c.SetDeadline(x.deadline)
+	if x.caller.Err() != nil {
+		c.Abort()
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !responded && x.hasTime(time.Now()) && s.retryBudget.Spend(time.Now())
+}
+
 // earlyResponseBody is the size in bytes of a request body above which an
 // upstream may respond with an error before it has read the body. The
 // connection is then discarded, because the upstream might parse the rest of
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -86,6 +86,8 @@
 	runs map[string]int
 	// load is the number of running requests that each upstream reports.
 	load map[string]int
+	// work is how long each upstream takes for a request without a fault.
+	work time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
 	conns        []net.Conn
@@ -223,6 +225,7 @@
 		complete("Connection: close\r\n")
 		return false
 	}
+	time.Sleep(tb.work)
 	return complete("")
 }
 
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -46,6 +46,16 @@
 	return a
 }
 
+// ExpectedDuration returns how long an attempt is expected to take for requests of a
+// kind, 0 if it is unknown.
+func (f *Fleet) ExpectedDuration(a *Attempt, serviceTime *ServiceTime) time.Duration {
+	factor := max(a.slowness, 1)
+	if a.saturated {
+		factor *= max(f.saturationFactor, 1)
+	}
+	return time.Duration(factor * float64(serviceTime.Average()))
+}
+
 // Finish records the end of a request. If the request was answered, it updates
 // serviceTime, the average for requests of its kind.
 func (f *Fleet) Finish(now time.Time, a *Attempt, r Result, serviceTime *ServiceTime) {
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,19 @@
 	return errors.Trace(c.write.Flush())
 }
 
+// AwaitResponse waits until the first byte of a response can be read, until t, or
+// until the exchange is aborted, which ctx must report before. It reads nothing, so
+// that the exchange may go on after a timeout. It reports false after a timeout.
+func (c *Conn) AwaitResponse(ctx context.Context, t time.Time) bool {
+	_ = c.net.SetReadDeadline(t)
+	if ctx.Err() != nil {
+		return false
+	}
+	_, err := c.read.Peek(1)
+	var netErr net.Error
+	return !errors.As(err, &netErr) || !netErr.Timeout()
+}
+
 // Receive reads a complete response with a body of at most maxBody bytes. head
 // indicates that the request method was HEAD, whose response has no body. Receive
 // returns ErrTruncated if the end of the response cannot be distinguished from
