tracker: a first replica is used when the changes since its list are known

Cause: an entry that was restarted used a stale list of the store for some milliseconds, and for longer if the read of the changes since then failed. Stale lists may be seconds behind, so that upstreams that had left were in use again.

Change: list and changes are applied together. TestRestartWithStaleStore, with the list five changes behind, alone and with peers, failed before.

--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -29,7 +29,7 @@
 	// overdue reports whether the attempt was aborted because its response was
 	// overdue. A retry has been taken from the budget for this.
 	overdue bool
-	err          error
+	err     error
 }
 
 // final reports whether the response is returned to the caller without another
--- a/tracker/cluster_test.go
+++ b/tracker/cluster_test.go
@@ -30,6 +30,8 @@
 	// calls get no response.
 	fails, hangs map[string]bool
 	calls        int
+	// lag is the number of revisions by which a stale list is behind.
+	lag uint64
 }
 
 func (s *store) write() uint64 {
@@ -75,13 +77,18 @@
 	return []Change{{Name: "main", Revision: s.revision, Config: &router.Spec{Version: int64(s.revision)}}}
 }
 
-func (s storeSource) List(ctx context.Context, k Kind, _ bool) (Delta, error) {
+func (s storeSource) List(ctx context.Context, k Kind, stale bool) (Delta, error) {
 	if err := s.call(ctx); err != nil {
 		return Delta{}, err
 	}
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
-	return Delta{Kind: k, Snapshot: true, AsOf: max(1, s.store.revision), Changes: s.store.change(k)}, nil
+	d := Delta{Kind: k, Snapshot: true, AsOf: max(1, s.store.revision), Changes: s.store.change(k)}
+	if stale && s.store.lag > 0 {
+		d.AsOf -= s.store.lag
+		d.Changes = []Change{{Name: "main", Revision: d.AsOf, Config: &router.Spec{Version: int64(d.AsOf)}}}
+	}
+	return d, nil
 }
 
 func (s storeSource) Watch(ctx context.Context, k Kind, after uint64, wait time.Duration) (Delta, error) {
--- a/tracker/fleet_test.go
+++ b/tracker/fleet_test.go
@@ -208,3 +208,41 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestRestartWithStaleStore restarts an entry while stale lists of the store are some
+// changes behind. The entry must never have an old version, neither from the store nor
+// from other entries.
+func TestRestartWithStaleStore(t *testing.T) {
+	for _, peers := range []bool{false, true} {
+		t.Run(fmt.Sprint("peers ", peers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				c := startFleet(ctx, 4, time.Second)
+				time.Sleep(8 * time.Second)
+				c.store.mu.Lock()
+				c.store.revision, c.store.lag = 9, 5
+				c.store.mu.Unlock()
+				c.store.write()
+				time.Sleep(propagationBound)
+				m := c.members()[3]
+				if !peers {
+					c.remove(c.members()[:3]...)
+					c.remove(m)
+					c.setFailing(false, m)
+				}
+				c.start(ctx, m, false, false)
+				for range 400 {
+					time.Sleep(5 * time.Millisecond)
+					if got := c.version(m.Name); got != 0 && got != 10 {
+						t.Fatalf("got: version %d want: none or 10", got)
+					}
+				}
+				if got := c.version(m.Name); got != 10 {
+					t.Errorf("got: version %d 2 s after the restart want: 10", got)
+				}
+				cancel()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -217,10 +217,11 @@
 		sleeper.Sleep(ctx, wait)
 		return
 	}
-	err := t.list(ctx, k, true)
-	if err == nil && !t.initial {
-		// The stale list may name upstreams that have left since.
-		err = t.watch(ctx, k, t.state.Position(time.Now(), k).AsOf, time.Millisecond)
+	var err error
+	if t.initial {
+		err = t.list(ctx, k, true)
+	} else {
+		err = t.listCurrent(ctx, k)
 	}
 	t.setReachable(k, err)
 	t.recordRead(time.Now(), err)
@@ -397,6 +398,29 @@
 	return t.apply(fresh, d, "store")
 }
 
+// listCurrent reads a stale list, which costs little, and the changes since. Nothing
+// is applied before both were read: the list may name upstreams that have left.
+func (t *Tracker) listCurrent(ctx context.Context, k Kind) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*responseTimeout)
+	defer cancel()
+	list, err := t.source.List(ctx, k, true)
+	if err != nil {
+		return err
+	}
+	fresh := time.Now()
+	changes, err := t.source.Watch(ctx, k, list.AsOf, time.Millisecond)
+	if errors.Is(err, ErrCompacted) {
+		return t.list(ctx, k, false)
+	}
+	if err != nil {
+		return err
+	}
+	if err := t.apply(fresh.Add(-maxStaleness), list, "store"); err != nil {
+		return err
+	}
+	return t.apply(fresh, changes, "store")
+}
+
 func (t *Tracker) watch(ctx context.Context, k Kind, after uint64, wait time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
