--- a/pipeliner/conn_test.go
+++ b/pipeliner/conn_test.go
@@ -118,6 +118,16 @@
 	})
 }
 
+// connect serves a new connection and receives the responses to its caller until wait
+// returns.
+func (h *testHandler) connect(s *Server) (caller net.Conn, wait *sync.WaitGroup) {
+	caller, entry := net.Pipe()
+	wait = &sync.WaitGroup{}
+	wait.Go(func() { s.ServeConn(entry) })
+	wait.Go(func() { h.receive(caller) })
+	return caller, wait
+}
+
 // receive logs the responses on a connection until it ends.
 func (h *testHandler) receive(c net.Conn) {
 	r := bufio.NewReader(c)
@@ -212,10 +222,7 @@
 				steps, want, _ := strings.Cut("\n"+string(f.Data), "\nwant\n")
 				h := newTestHandler()
 				s := newTestServer(h)
-				caller, entry := net.Pipe()
-				var wg sync.WaitGroup
-				wg.Go(func() { s.ServeConn(entry) })
-				wg.Go(func() { h.receive(caller) })
+				caller, wg := h.connect(s)
 				for line := range strings.Lines(strings.TrimSpace(steps)) {
 					go step(s, caller, strings.TrimSpace(line))
 					synctest.Wait()
@@ -261,10 +268,7 @@
 		synctest.Test(t, func(*testing.T) {
 			h := newTestHandler()
 			s := newTestServer(h)
-			caller, entry := net.Pipe()
-			var wg sync.WaitGroup
-			wg.Go(func() { s.ServeConn(entry) })
-			wg.Go(func() { h.receive(caller) })
+			caller, wg := h.connect(s)
 			if drainAt >= 0 {
 				time.AfterFunc(time.Duration(drainAt)*time.Millisecond, s.Drain)
 			}
@@ -330,10 +334,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newTestHandler()
 		s := newTestServer(h)
-		caller, entry := net.Pipe()
-		var wg sync.WaitGroup
-		wg.Go(func() { s.ServeConn(entry) })
-		wg.Go(func() { h.receive(caller) })
+		caller, wg := h.connect(s)
 		text := request([]string{"safe", "1000", "0"})
 		for i := range 3 * maxPending {
 			text += request([]string{"safe", "1", strconv.Itoa(i + 1)})
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -133,24 +133,6 @@
 	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, updated: make(chan struct{}, 1), start: time.Now(), settle: settleTime, acquireDelay: 1 + rand.N(acquireSpread), unreachable: make(map[string]time.Time)}
 }
 
-// SetInitialStart selects the delays for the first start of the whole deployment. It
-// must be called before Follow.
-func (t *Tracker) SetInitialStart() {
-	t.settle, t.initial = initialSettleTime, true
-	t.acquireDelay = initialAcquireDelay + rand.N(initialAcquireSpread)
-}
-
-// SetContacts sets the function that returns the entries to query for a first
-// replica while no other is known to be live. If this entry is a seed, it reads the
-// store at once: the others query it. SetContacts must be called before Follow and
-// after SetInitialStart.
-func (t *Tracker) SetContacts(contacts func() []announcer.Member, isSeed bool) {
-	t.contacts = contacts
-	if isSeed {
-		t.acquireDelay = 0
-	}
-}
-
 // Follow keeps the replica of one kind up to date until ctx ends.
 func (t *Tracker) Follow(ctx context.Context, k Kind) error {
 	nextPaced := time.Time{}
@@ -193,40 +175,6 @@
 	return staleAge + time.Duration(min(r.Rank, readersPerDomain))*rankDelay
 }
 
-// acquire obtains the first replica of a kind: from an entry that has one, and from
-// the store if none has replied after some time. Many entries may start at the same
-// time.
-func (t *Tracker) acquire(ctx context.Context, k Kind) {
-	now := time.Now()
-	wait := t.acquireDelay - now.Sub(t.start)
-	if wait > 0 || !t.mayRead(now) {
-		queried := make(chan struct{})
-		go func() {
-			defer close(queried)
-			t.queryPeers(ctx, k, t.role(now))
-		}()
-		select {
-		case <-queried:
-			wait = acquireInterval
-		case <-time.After(max(wait, acquireInterval)):
-			wait = 0
-		}
-		if t.state.Position(time.Now(), k).AsOf > 0 {
-			return
-		}
-		sleeper.Sleep(ctx, wait)
-		return
-	}
-	var err error
-	if t.initial {
-		err = t.list(ctx, k, true)
-	} else {
-		err = t.listCurrent(ctx, k)
-	}
-	t.setReachable(k, err)
-	t.recordRead(time.Now(), err)
-}
-
 // read reads the changes since a position from the store. A reader that receives no
 // updates, although it is not the head of its failure domain, sends them on in place
 // of the head. After a failure other entries are queried.
@@ -260,16 +208,6 @@
 	// until every entry has the membership; until then each of them would read
 	// the store.
 	initialSettleTime = 3500 * time.Millisecond
-	// An entry without a replica queries others, and lists the store's objects
-	// itself after a random part of acquireSpread: callers wait if all entries were
-	// restarted. At the first start of the whole deployment there are no callers
-	// yet, so it waits for initialAcquireDelay and a random part of
-	// initialAcquireSpread, while the first entries that have a replica pass it on.
-	acquireSpread        = 40 * time.Millisecond
-	initialAcquireDelay  = 250 * time.Millisecond
-	initialAcquireSpread = 3 * time.Second
-	// acquireInterval is the pause between two queries without a replica.
-	acquireInterval = 40 * time.Millisecond
 	// unreachableTTL is how long an entry that could not reach the store does
 	// not watch it.
 	unreachableTTL = 5 * time.Second
@@ -398,29 +336,6 @@
 	return t.apply(fresh, d, "store")
 }
 
-// listCurrent reads a stale list, which costs little, and the changes since. Nothing
-// is applied before both were read: the list may name upstreams that have left.
-func (t *Tracker) listCurrent(ctx context.Context, k Kind) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*responseTimeout)
-	defer cancel()
-	list, err := t.source.List(ctx, k, true)
-	if err != nil {
-		return err
-	}
-	fresh := time.Now()
-	changes, err := t.source.Watch(ctx, k, list.AsOf, time.Millisecond)
-	if errors.Is(err, ErrCompacted) {
-		return t.list(ctx, k, false)
-	}
-	if err != nil {
-		return err
-	}
-	if err := t.apply(fresh.Add(-maxStaleness), list, "store"); err != nil {
-		return err
-	}
-	return t.apply(fresh, changes, "store")
-}
-
 func (t *Tracker) watch(ctx context.Context, k Kind, after uint64, wait time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
