tracker: ages of replicas are bounded, and read together with the changes

Cause: TestRestartWithStaleStore hung once in some hundred runs. An entry that had no replica yet read its position, an age of 292 years, and then, after the first replica had arrived, the changes for a reply; the age that is added for the reuse of the reply overflowed. The receiver took the replica as fresh for 292 years to come, and would not have read the store any more.

A kind without a replica is not confirmed.

--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -73,7 +73,7 @@
 	now := time.Now()
 	forward := t.markUnreachable(u.Unreachable)
 	for _, d := range u.Deltas {
-		if d.Kind < 0 || d.Kind >= Kinds {
+		if d.Kind < 0 || d.Kind >= Kinds || !u.Positions[d.Kind].valid() {
 			continue
 		}
 		if changes, err := t.state.Apply(now.Add(-u.Positions[d.Kind].Age), d); err == nil {
@@ -82,6 +82,9 @@
 		}
 	}
 	for k := range Kinds {
+		if !u.Positions[k].valid() {
+			continue
+		}
 		known, newer := t.state.ConfirmFresh(now.Add(-u.Positions[k].Age), k, u.Positions[k].AsOf)
 		forward = forward || newer
 		if known {
@@ -128,7 +131,8 @@
 		return nil, errors.NotValidf("kind %d", int(q.Kind))
 	}
 	if q.After > 0 {
-		return Reply{Position: t.state.Position(time.Now(), q.Kind), Delta: t.state.Since(q.Kind, q.After)}, nil
+		d, position := t.state.SinceAt(time.Now(), q.Kind, q.After)
+		return Reply{Position: position, Delta: d}, nil
 	}
 	s := &t.replies[q.Kind]
 	s.mu.Lock()
@@ -137,8 +141,9 @@
 	if s.body != nil && now.Sub(s.madeAt) < snapshotReplyTTL {
 		return s.body, nil
 	}
-	r := Reply{Position: t.state.Position(now, q.Kind), Delta: t.state.Since(q.Kind, 0)}
-	r.Position.Age += snapshotReplyTTL
+	var r Reply
+	r.Delta, r.Position = t.state.SinceAt(now, q.Kind, 0)
+	r.Position.Age = min(r.Position.Age+snapshotReplyTTL, maxAge)
 	body, err := announcer.Pack(r)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -211,7 +216,7 @@
 		t.log.Debug("state query to peer failed", "peer", m.Name, "error", err.Error())
 		return false
 	}
-	if r.Delta.Kind != k || r.Delta.AsOf == 0 {
+	if r.Delta.Kind != k || r.Delta.AsOf == 0 || !r.Position.valid() {
 		return true
 	}
 	if err := t.apply(sentAt.Add(-r.Position.Age), r.Delta, m.Name); err != nil {
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -193,6 +193,18 @@
 func (s *State) Since(k Kind, after uint64) Delta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.since(k, after)
+}
+
+// SinceAt returns the result of Since together with the position that it leads to.
+func (s *State) SinceAt(now time.Time, k Kind, after uint64) (Delta, Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since(k, after), s.kinds[k].position(now)
+}
+
+// since implements Since. The lock must be held.
+func (s *State) since(k Kind, after uint64) Delta {
 	r := &s.kinds[k]
 	d := Delta{Kind: k, After: after, AsOf: r.asOf}
 	if after >= r.asOf {
@@ -223,17 +235,27 @@
 type Position struct {
 	AsOf uint64 `json:"asof"`
 	// Age is the time since the revision was last certain to be the store's
-	// newest.
+	// newest, at most maxAge.
 	Age time.Duration `json:"age"`
 }
 
+// maxAge bounds ages, including that of a replica that was never certain to be the
+// store's newest, so that times computed from them do not overflow.
+const maxAge = 24 * time.Hour
+
+// valid reports whether a position received from another entry can be used.
+func (p Position) valid() bool { return p.Age >= 0 && p.Age <= maxAge }
+
+func (r *replica) position(now time.Time) Position {
+	return Position{AsOf: r.asOf, Age: min(max(now.Sub(r.fresh), 0), maxAge)}
+}
+
 // Position returns the revision and the age of the replica of a kind. AsOf is 0 if
 // no delta has been applied yet.
 func (s *State) Position(now time.Time, k Kind) Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &s.kinds[k]
-	return Position{AsOf: r.asOf, Age: now.Sub(r.fresh)}
+	return s.kinds[k].position(now)
 }
 
 // ConfirmFresh records that revision asOf was the store's newest at fresh. It
@@ -246,7 +268,7 @@
 	if asOf > r.asOf {
 		return false, false
 	}
-	newer = asOf == r.asOf && fresh.After(r.fresh)
+	newer = asOf > 0 && asOf == r.asOf && fresh.After(r.fresh)
 	if newer {
 		r.fresh = fresh
 	}
--- a/tracker/state_test.go
+++ b/tracker/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -131,3 +133,28 @@
 		}
 	})
 }
+
+// TestAgeBounded applies updates and replies whose age is negative or beyond any
+// bound: the replica must not count as fresh because of them, now or later.
+func TestAgeBounded(t *testing.T) {
+	for _, age := range []time.Duration{-1, math.MinInt64, math.MaxInt64, maxAge + 1} {
+		s := &State{}
+		tr := New(s, nil, nil, "a", func() []announcer.Member { return nil }, slog.New(slog.DiscardHandler))
+		u := Update{From: "b", Deltas: []Delta{{Kind: Configs, Snapshot: true, AsOf: 3}}}
+		u.Positions[Configs] = Position{AsOf: 3, Age: age}
+		tr.Receive(t.Context(), u)
+		if got := s.Position(time.Now(), Configs); got.AsOf != 0 {
+			t.Errorf("age %d: got: %+v want: not applied", age, got)
+		}
+	}
+	s := &State{}
+	if _, p := s.SinceAt(time.Now(), Configs, 0); p.Age != maxAge {
+		t.Errorf("got: age %v of an empty replica want: %v", p.Age, maxAge)
+	}
+	if _, err := s.Apply(time.Now().Add(time.Hour), Delta{Kind: Configs, Snapshot: true, AsOf: 3}); err != nil {
+		t.Fatal(err)
+	}
+	if p := s.Position(time.Now(), Configs); p.Age < 0 {
+		t.Errorf("got: age %v want: 0 or above", p.Age)
+	}
+}
