pipeliner: a drained connection closes after its last response

Cause: the end of the reader's wait was a read deadline in the past, which the idle timeout then replaced before the reader ran. Over TCP the connection stayed open for the idle timeout if its caller did not close it; the tests over pipes don't show it.

Change: no idle timeout is set on a connection that closes. TestDrainClosesOverTCP failed before, 20 of 20. Requests that can't be read are logged.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -246,6 +246,7 @@
 		p.release()
 		return false
 	}
+	c.server.options.Log.Info("request can't be read", "caller", c.net.RemoteAddr().String(), "error", err.Error())
 	setReadError(p.Response, err)
 	p.done, p.last, p.concurrent = true, true, true
 	return true
--- a/pipeliner/conn_test.go
+++ b/pipeliner/conn_test.go
@@ -486,3 +486,33 @@
 		t.Errorf("got: %v want: no error", err)
 	}
 }
+
+// TestDrainClosesOverTCP drains while a request runs. The entry closes the connection
+// after the response, although its caller does not.
+func TestDrainClosesOverTCP(t *testing.T) {
+	for range 20 {
+		s := newTestServer(newTestHandler())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = s.Serve(l) }()
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, request([]string{"safe", "20", "a"})); err != nil {
+			t.Fatal(err)
+		}
+		for s.Pending() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.Drain()
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.ReadAll(c); err != nil {
+			t.Errorf("got: %v want: the response and the end of the connection", err)
+		}
+		_ = c.Close()
+		_ = l.Close()
+	}
+}
--- a/pipeliner/respond.go
+++ b/pipeliner/respond.go
@@ -71,7 +71,7 @@
 	w.Reset(nil)
 	c.server.writers.Put(w)
 	c.writing = false
-	if c.awaiting {
+	if c.awaiting && !c.closing {
 		c.setIdleDeadline()
 	}
 	select {
