faker: a refused connection does not state that a call did not run

A trace of its attempts, twice the same: unknown (the entry was killed, end of file), unknown (the entry answers "claim can't be had", ran unknown), then no, for a third entry whose connection timed out. The entries' answers were true; the fake caller reported the outcome of its last attempt, to which nothing was sent, as that of the call.

Ruled out: the claims and the relayer, whose answers to the call were unknown.

Change: a call counts as not run after an attempt that may have run only if an entry says so of a call with a key. An entry's "no" is checked as before. TestOutcomeOfAttempts and TestNoEntryAfterLostResponse; the latter failed before.

--- a/internal/faker/caller.go
+++ b/internal/faker/caller.go
@@ -71,33 +71,45 @@
 	responseGrace = 200 * time.Millisecond
 )
 
-// Do sends one call, with retries, and returns the outcome of the last attempt.
+// Do sends one call, with retries, and returns the outcome of the last attempt. Its
+// Ran is that of the whole call.
 func (c *Caller) Do(r Request) Outcome {
 	end := time.Now().Add(r.Deadline)
 	var last Outcome
+	mayHaveRun := false
 	for n := 1; n <= max(1, c.maxAttempts()); n++ {
 		entries := c.resolve(r.Service)
 		if len(entries) == 0 {
-			last = Outcome{Ran: "no", Err: errors.New("no entry resolves the service"), Attempts: last.Attempts}
+			last = combine(mayHaveRun, Outcome{Ran: "no", Err: errors.New("no entry resolves the service"), Attempts: last.Attempts}, r.Key)
 			continue
 		}
 		entry := entries[(n-1)%len(entries)]
 		outcome := c.send(entry, r, end, n == 1)
 		outcome.Attempts, outcome.Entry = n, entry
-		last = outcome
+		last = combine(mayHaveRun, outcome, r.Key)
+		mayHaveRun = mayHaveRun || outcome.Ran != "no"
 		if outcome.Err != nil {
 			c.invalidate(r.Service)
 		}
 		if outcome.Ran == "yes" || time.Now().After(end) {
-			return outcome
+			return last
 		}
 		if outcome.Ran != "no" && !r.Idempotent && r.Key == "" {
-			return outcome
+			return last
 		}
 	}
 	return last
 }
 
+// combine returns the outcome of a call whose last attempt had an outcome and whose
+// earlier attempts may have run. Only an entry knows of earlier attempts, by the key.
+func combine(mayHaveRun bool, o Outcome, key string) Outcome {
+	if mayHaveRun && o.Ran == "no" && (o.Err != nil || key == "") {
+		o.Ran = "unknown"
+	}
+	return o
+}
+
 func (c *Caller) maxAttempts() int {
 	if c.MaxAttempts == 0 {
 		return 3
