forwarder, platform: rate limits of upstreams are parsed, logged and counted

Change: the header is parsed into ResponseInfo, and the limit of each upstream is kept with the time of the statement, logged when it changes, and shown in /status and the metrics together with the requests sent since. What requests are sent where is unchanged. A response without a limit counts from when its request was sent, since another one may have stated it in between; a load probe's response without one is no statement. A malformed value changes nothing and is logged.

Ruled out by reading: nothing read the header before.

--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -39,4 +39,9 @@
 	// Load is the load of the upstream, valid if HasLoad is set.
 	Load    placer.Report
 	HasLoad bool
+	// RateLimit is the rate of requests per second that the upstream accepts from
+	// all entries together, valid if Limited is set. LimitMalformed reports that the
+	// response states a limit that can't be parsed.
+	RateLimit               float64
+	Limited, LimitMalformed bool
 }
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -323,7 +323,8 @@
 	req.Header.SetRequestURI(x.healthURI)
 	req.Header.SetHost(u.Addr())
 	req.UseHostHeader = true
-	c.SetDeadline(time.Now().Add(probeTimeout))
+	sentAt := time.Now()
+	c.SetDeadline(sentAt.Add(probeTimeout))
 	if err := c.Send(req); err != nil {
 		return false
 	}
@@ -343,6 +344,7 @@
 		x.forwarder.options.Log.Warn("another upstream responded at this address", "upstream", u.ID(), "addr", u.Addr(), "now", info.Instance)
 		return false
 	}
+	x.recordLimit(u, info, sentAt, sourceProbe)
 	if !info.HasLoad {
 		info.Load = placer.Report{Slowness: 1, At: now}
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -93,7 +93,7 @@
 	}
 	info := f.options.Dialect.ParseResponse(&o.resp.Header, time.Now())
 	o.notRun = info.NotRun
-	x.applyResponseInfo(u, info)
+	x.applyResponseInfo(cand.attempt, info)
 	early := len(x.call.Request.Body()) > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
 	if o.disconnected || early || o.resp.ConnectionClose() || !c.Clean() {
 		f.pool.Discard(c)
@@ -143,11 +143,13 @@
 // the body as the next request.
 const earlyResponseBody = 1 << 10
 
-// applyResponseInfo updates the state of the upstream from its response.
-func (x *exchange) applyResponseInfo(u *placer.Upstream, info ResponseInfo) {
-	s := x.service
+// applyResponseInfo updates the state of the upstream from its response to an
+// attempt.
+func (x *exchange) applyResponseInfo(a *placer.Attempt, info ResponseInfo) {
+	s, u := x.service, a.Upstream()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	x.recordLimit(u, info, a.StartedAt(), sourceRequest)
 	if info.HasLoad {
 		s.fleet.RecordReport(u, info.Load)
 	}
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -26,6 +26,11 @@
 	Draining bool   `json:"leaving,omitempty"`
 	Ejected  bool   `json:"ejected,omitempty"`
 	Load     Load   `json:"load"`
+	// RateLimit is the rate limit in requests per second that the upstream states
+	// for all entries together, nil if it states none.
+	RateLimit *float64 `json:"limit,omitempty"`
+	// Sent is the number of requests sent to it since it states a limit.
+	Sent int64 `json:"sent,omitempty"`
 }
 
 // Status returns the state of all services at this entry, by name.
@@ -52,9 +57,13 @@
 			out.Usable++
 		}
 		spec := u.Spec()
-		out.Upstreams = append(out.Upstreams, UpstreamStatus{
+		status := UpstreamStatus{
 			ID: spec.ID, Addr: spec.Addr, Domain: spec.Domain, Draining: spec.Draining, Ejected: u.Ejected(now), Load: loadOf(u, now),
-		})
+		}
+		if limit := u.RateLimit(); limit.Limited {
+			status.RateLimit, status.Sent = &limit.Rate, u.SentWhileLimited()
+		}
+		out.Upstreams = append(out.Upstreams, status)
 	}
 	return out
 }
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -39,10 +39,16 @@
 // Upstream returns the upstream that the request was sent to.
 func (a *Attempt) Upstream() *Upstream { return a.upstream }
 
+// StartedAt returns when the attempt was started.
+func (a *Attempt) StartedAt() time.Time { return a.startedAt }
+
 // Start records a request that is sent to the upstream.
 func (f *Fleet) Start(now time.Time, u *Upstream) *Attempt {
 	a := &Attempt{upstream: u, startedAt: now, slowness: u.slowness(now), saturated: u.saturated(now)}
 	u.inFlight++
+	if u.limit.Limited {
+		u.sentWhileLimited++
+	}
 	return a
 }
 
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -47,6 +47,10 @@
 	// inFlightAtReport is the value of inFlight when it was received.
 	report           Report
 	inFlightAtReport int
+	// limit is the rate limit that the upstream stated last.
+	limit RateLimit
+	// sentWhileLimited counts the requests sent since the upstream states a limit.
+	sentWhileLimited int64
 	// consecutiveFailures counts failed requests since the last success.
 	consecutiveFailures int
 	// failureRate is the moving average of failed requests as of failureRateAt.
@@ -86,6 +90,13 @@
 // Report returns the last report, with a zero At if there was none.
 func (u *Upstream) Report() Report { return u.report }
 
+// RateLimit returns the rate limit that the upstream stated last.
+func (u *Upstream) RateLimit() RateLimit { return u.limit }
+
+// SentWhileLimited returns the number of requests sent to the upstream since it
+// states a rate limit.
+func (u *Upstream) SentWhileLimited() int64 { return u.sentWhileLimited }
+
 // Ejected reports whether the upstream is ejected after failures.
 func (u *Upstream) Ejected(now time.Time) bool { return now.Before(u.ejectedUntil) }
 
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -108,6 +108,8 @@
 				o.ObserveFloat64(i, float64(s.Usable), metric.WithAttributes(attribute.String("service", s.Name)))
 			}
 		}},
+		{"poplarwind.upstream.limit", "Rate limit in requests a second that an upstream states, by upstream.", g.limitedUpstreams(func(u forwarder.UpstreamStatus) float64 { return *u.RateLimit })},
+		{"poplarwind.upstream.limit.sent", "Requests sent to an upstream since it states a rate limit, by upstream.", g.limitedUpstreams(func(u forwarder.UpstreamStatus) float64 { return float64(u.Sent) })},
 	} {
 		i, err := meter.Float64ObservableGauge(v.name, metric.WithDescription(v.description))
 		if err != nil {
@@ -129,6 +131,20 @@
 	return func(o metric.Observer, i metric.Float64Observable) { o.ObserveFloat64(i, read()) }
 }
 
+// limitedUpstreams returns a callback that observes one value of each upstream that
+// states a rate limit.
+func (g *Gateway) limitedUpstreams(value func(forwarder.UpstreamStatus) float64) func(metric.Observer, metric.Float64Observable) {
+	return func(o metric.Observer, i metric.Float64Observable) {
+		for _, s := range g.sources.Forwarder.Status() {
+			for _, u := range s.Upstreams {
+				if u.RateLimit != nil {
+					o.ObserveFloat64(i, value(u), metric.WithAttributes(attribute.String("upstream", u.ID)))
+				}
+			}
+		}
+	}
+}
+
 // Observe records the outcome and the latency of one request.
 func (g *Gateway) Observe(r *forwarder.Record) {
 	key := outcome{service: r.Service, cause: r.Cause, rank: r.Rank, status: r.Status}
