--- a/runner/gateway_test.go
+++ b/runner/gateway_test.go
@@ -69,11 +69,14 @@
 	done chan error
 }
 
-// settings returns the settings of a gateway on free addresses.
-func (s *gatewayEnv) settings(name, grace string) string {
-	return fmt.Sprintf(`{"name":%q,"domain":"a","callers":%q,"peers":%q,"ops":%q,"platform":%q,"secret":"secret-of-the-tests","beat":"100ms","silence":"1s",
+// settings returns the settings of a gateway in failure domain a on free addresses.
+func (s *gatewayEnv) settings(name, grace string) string { return s.settingsIn("a", name, grace) }
+
+// settingsIn returns the settings of a gateway in a failure domain on free addresses.
+func (s *gatewayEnv) settingsIn(domain, name, grace string) string {
+	return fmt.Sprintf(`{"name":%q,"domain":%q,"callers":%q,"peers":%q,"ops":%q,"platform":%q,"secret":"secret-of-the-tests","beat":"100ms","silence":"1s",
 		"gateway":{"resolve":%q,"ready":%q,"grace":%q,"probes":1000}}`,
-		name, freeAddr(s.t), freeAddr(s.t), freeAddr(s.t), s.addr, freeAddr(s.t), freeAddr(s.t), grace)
+		name, domain, freeAddr(s.t), freeAddr(s.t), freeAddr(s.t), s.addr, freeAddr(s.t), freeAddr(s.t), grace)
 }
 
 func (s *gatewayEnv) start(name, grace string) *testGateway { return s.run(s.settings(name, grace)) }
