forwarder, placer, runner: entries share the rate limit that an upstream states

Cause: no entry read the limit.

Ruled out: kills, pauses, cuts of entries and the store (none before the limit was exceeded); retries and requests in flight (the rate at the upstreams was 5.3 and 5.8 requests a second before the statement, 5.9 and 6.0 after it, at all times).

Change: a limit is divided among about as many of the service's assigned entries as it allows requests in a second, by rendezvous hashing over the membership; others send nothing there. Owners start without requests to send and accumulate hardly any. Entries report limits that upstreams state, change or lift to each other, since one that sends nothing hears nothing; after 10 to 20 s without news one request is sent on trial. A response lifts a limit only if its request was sent after the last statement. An entry that may send to no upstream of a service rejects at once.

Why it works: in any 4 s the owners send what the limit allows and one request each at most, and there are at most one more of them than the limit allows in a second.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -21,6 +21,7 @@
 	errNoRoute      = errors.ConstError("no route matches")
 	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
+	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
 	errNoUpstream   = errors.ConstError("service has no upstream")
 	errDisconnected = errors.ConstError("caller left")
 	errTimeout      = errors.ConstError("time limit passed")
@@ -201,6 +202,11 @@
 		s.mu.Unlock()
 		return candidate{}, errNoUpstream
 	}
+	if s.fleet.Withheld(now) {
+		x.retryAfter = noSlotsWait
+		s.mu.Unlock()
+		return candidate{}, errRateLimited
+	}
 	if !x.hasTime(now) {
 		s.mu.Unlock()
 		return candidate{}, errTimeout
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,6 +56,10 @@
 	// Entries returns the current set of entries and their assignment to a
 	// service. Nil means a single entry.
 	Entries func(service string) EntrySet
+	// LimitFraction returns the fraction of the rate limit of an upstream, in
+	// requests per second, that this entry may use. The fractions of all entries add
+	// up to 1. Nil means a single entry.
+	LimitFraction func(u placer.Spec, rate float64) float64
 	// Refresh loads the newest configuration that is available before ctx
 	// expires. It is called when a request matches no route. Nil disables it.
 	Refresh func(ctx context.Context)
@@ -110,6 +114,9 @@
 			return EntrySet{Total: 1, Assigned: 1, IsAssigned: true, LoadFraction: 1, ProbeFraction: [placer.Scopes]float64{1, 1}}
 		}
 	}
+	if o.LimitFraction == nil {
+		o.LimitFraction = func(placer.Spec, float64) float64 { return 1 }
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -184,6 +191,7 @@
 	f.mu.Unlock()
 	for _, s := range services {
 		s.updateLimits(f.options, time.Now())
+		s.updateLimitFractions(f.options, time.Now())
 	}
 }
 
--- a/forwarder/limitsource_string.go
+++ b/forwarder/limitsource_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[sourceRequest-0]
 	_ = x[sourceProbe-1]
+	_ = x[sourcePeer-2]
 }
 
-const _limitSource_name = "requestprobe"
+const _limitSource_name = "requestprobepeer"
 
-var _limitSource_index = [...]uint8{0, 7, 12}
+var _limitSource_index = [...]uint8{0, 7, 12, 16}
 
 func (i limitSource) String() string {
 	idx := int(i) - 0
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -336,18 +336,21 @@
 	if resp.ConnectionClose() || len(info.ID) > 0 || info.Stamped || !c.Clean() {
 		return false
 	}
-	s := x.service
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if info.Instance != "" && info.Instance != u.ID() {
-		s.fleet.Exclude(u)
-		x.forwarder.options.Log.Warn("another upstream responded at this address", "upstream", u.ID(), "addr", u.Addr(), "now", info.Instance)
+		x.excludeUpstream(u, info.Instance)
 		return false
 	}
-	x.recordLimit(u, info, sentAt, sourceProbe)
 	if !info.HasLoad {
-		info.Load = placer.Report{Slowness: 1, At: now}
+		info.HasLoad, info.Load = true, placer.Report{Slowness: 1, At: now}
 	}
-	s.fleet.RecordReport(u, info.Load)
+	x.applyResponseInfo(u, info, sentAt, sourceProbe)
 	return true
 }
+
+// excludeUpstream excludes an upstream at whose address another one has responded.
+func (x *exchange) excludeUpstream(u *placer.Upstream, found string) {
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	x.service.fleet.Exclude(u)
+	x.forwarder.options.Log.Warn("another upstream responded at this address", "upstream", u.ID(), "addr", u.Addr(), "now", found)
+}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -93,7 +93,7 @@
 	}
 	info := f.options.Dialect.ParseResponse(&o.resp.Header, time.Now())
 	o.notRun = info.NotRun
-	x.applyResponseInfo(cand.attempt, info)
+	x.applyResponseInfo(u, info, cand.attempt.StartedAt(), sourceRequest)
 	early := len(x.call.Request.Body()) > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
 	if o.disconnected || early || o.resp.ConnectionClose() || !c.Clean() {
 		f.pool.Discard(c)
@@ -143,19 +143,22 @@
 // the body as the next request.
 const earlyResponseBody = 1 << 10
 
-// applyResponseInfo updates the state of the upstream from its response to an
-// attempt.
-func (x *exchange) applyResponseInfo(a *placer.Attempt, info ResponseInfo) {
-	s, u := x.service, a.Upstream()
+// applyResponseInfo updates the state of the upstream from its response to a request or
+// a load probe that was sent at sentAt.
+func (x *exchange) applyResponseInfo(u *placer.Upstream, info ResponseInfo, sentAt time.Time, source limitSource) {
+	s := x.service
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	x.recordLimit(u, info, a.StartedAt(), sourceRequest)
+	limitChanged := x.recordLimit(u, info, sentAt, source)
 	if info.HasLoad {
 		s.fleet.RecordReport(u, info.Load)
 	}
 	if info.Misdirected {
 		s.fleet.Exclude(u)
 	}
+	s.mu.Unlock()
+	if limitChanged {
+		s.updateLimitFractions(x.forwarder.options, time.Now())
+	}
 }
 
 // writeRequest sends the request, addressed to the upstream.
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -139,7 +139,7 @@
 // estimateWait estimates how long a request waits for a slot at this entry,
 // given the number of requests ahead of it.
 func (s *service) estimateWait(now time.Time, ahead int) time.Duration {
-	slots := float64(s.fleet.Slots(now)) / float64(s.assignedEntries)
+	slots := float64(s.fleet.Slots(now))/float64(s.assignedEntries) + s.fleet.LimitedSlots(now)
 	if slots <= 0 {
 		return noSlotsWait
 	}
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -29,6 +29,8 @@
 	// RateLimit is the rate limit in requests per second that the upstream states
 	// for all entries together, nil if it states none.
 	RateLimit *float64 `json:"limit,omitempty"`
+	// LimitFraction is the fraction of the limit that this entry may use.
+	LimitFraction float64 `json:"part,omitempty"`
 	// Sent is the number of requests sent to it since it states a limit.
 	Sent int64 `json:"sent,omitempty"`
 }
@@ -61,7 +63,7 @@
 			ID: spec.ID, Addr: spec.Addr, Domain: spec.Domain, Draining: spec.Draining, Ejected: u.Ejected(now), Load: loadOf(u, now),
 		}
 		if limit := u.RateLimit(); limit.Limited {
-			status.RateLimit, status.Sent = &limit.Rate, u.SentWhileLimited()
+			status.RateLimit, status.LimitFraction, status.Sent = &limit.Rate, u.LimitFraction(), u.SentWhileLimited()
 		}
 		out.Upstreams = append(out.Upstreams, status)
 	}
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -46,8 +46,8 @@
 func (f *Fleet) Start(now time.Time, u *Upstream) *Attempt {
 	a := &Attempt{upstream: u, startedAt: now, slowness: u.slowness(now), saturated: u.saturated(now)}
 	u.inFlight++
-	if u.limit.Limited {
-		u.sentWhileLimited++
+	if u.limit.stated.Limited {
+		u.limit.take(now, f.trialDelay())
 	}
 	return a
 }
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -64,11 +64,12 @@
 	f.upstreams = slices.Delete(f.upstreams, i, i+1)
 }
 
-// Slots returns the total number of slots of all usable upstreams.
+// Slots returns the total number of slots of all usable upstreams that state no rate
+// limit.
 func (f *Fleet) Slots(now time.Time) int {
 	n := 0
 	for _, u := range f.upstreams {
-		if u.Usable(now) {
+		if u.Usable(now) && !u.limit.stated.Limited {
 			n += u.Slots()
 		}
 	}
@@ -123,11 +124,11 @@
 	cost     float64
 }
 
-// rank returns the usable upstreams that skip does not exclude, cheapest first.
+// rank returns the available upstreams that skip does not exclude, cheapest first.
 func (f *Fleet) rank(now time.Time, skip func(*Upstream) bool) []candidate {
 	out := make([]candidate, 0, len(f.upstreams))
 	for _, u := range f.upstreams {
-		if !u.Usable(now) || skip != nil && skip(u) {
+		if !u.available(now) || skip != nil && skip(u) {
 			continue
 		}
 		c := f.effectiveCost(now, u) + tieBreakJitter*f.randFloat() + unansweredProbeCost*float64(u.unansweredProbes)
@@ -211,7 +212,7 @@
 func (f *Fleet) SelectUnprobed(now time.Time, skip func(*Upstream) bool) *Upstream {
 	slots, taken := 0, 0
 	for _, u := range f.upstreams {
-		if u.Usable(now) {
+		if u.available(now) {
 			slots, taken = slots+u.Slots(), taken+u.reportedLoad()
 		}
 	}
@@ -295,7 +296,7 @@
 	var best *Upstream
 	lowest := 0.0
 	for _, u := range probed {
-		if !u.Usable(now) || !u.hasRoom(now) {
+		if !u.available(now) || !u.hasRoom(now) {
 			continue
 		}
 		c := f.effectiveCost(now, u)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -62,6 +62,20 @@
 		f.Remove(args[1])
 	case "report": // report id running waiting slowness
 		f.RecordReport(u, Report{Running: int(p.parseFloat(args[2])), Waiting: int(p.parseFloat(args[3])), Slowness: p.parseFloat(args[4]), At: p.now})
+	case "limit": // limit id rate [age in milliseconds]
+		return p.recordLimit(u, RateLimit{Rate: p.parseFloat(args[2]), Limited: true}, args[3:])
+	case "lift": // lift id [age in milliseconds]
+		return p.recordLimit(u, RateLimit{}, args[2:])
+	case "peerlimit": // peerlimit id start rate, a report of another entry
+		return fmt.Sprint(f.ApplyLimitReport(p.now, args[1], int64(p.parseFloat(args[2])), RateLimit{Rate: p.parseFloat(args[3]), Limited: true, At: p.now}) != nil)
+	case "fraction": // fraction id fraction
+		f.SetLimitFraction(p.now, u, p.parseFloat(args[2]))
+	case "unreported":
+		return joinIDs(f.TakeUnreported(nil, p.now))
+	case "withheld":
+		return fmt.Sprint(f.Withheld(p.now))
+	case "limitedslots":
+		return fmt.Sprintf("%.2f", f.LimitedSlots(p.now))
 	case "advance": // advance milliseconds
 		p.now = p.now.Add(time.Duration(p.parseFloat(args[1])) * time.Millisecond)
 	case "probe": // probe local|remote n
@@ -120,6 +134,15 @@
 	return ""
 }
 
+// recordLimit records what a response states that was received some milliseconds ago.
+func (p *interpreter) recordLimit(u *Upstream, stated RateLimit, age []string) string {
+	stated.At = p.now
+	if len(age) > 0 {
+		stated.At = p.now.Add(-time.Duration(p.parseFloat(age[0])) * time.Millisecond)
+	}
+	return fmt.Sprint(p.fleet.RecordLimit(p.now, u, stated))
+}
+
 // TestFleet runs the scripts in testdata, each of which applies a load pattern to
 // a fleet.
 func TestFleet(t *testing.T) {
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -47,10 +47,7 @@
 	// inFlightAtReport is the value of inFlight when it was received.
 	report           Report
 	inFlightAtReport int
-	// limit is the rate limit that the upstream stated last.
-	limit RateLimit
-	// sentWhileLimited counts the requests sent since the upstream states a limit.
-	sentWhileLimited int64
+	limit            limitState
 	// consecutiveFailures counts failed requests since the last success.
 	consecutiveFailures int
 	// failureRate is the moving average of failed requests as of failureRateAt.
@@ -91,20 +88,26 @@
 func (u *Upstream) Report() Report { return u.report }
 
 // RateLimit returns the rate limit that the upstream stated last.
-func (u *Upstream) RateLimit() RateLimit { return u.limit }
+func (u *Upstream) RateLimit() RateLimit { return u.limit.stated }
 
 // SentWhileLimited returns the number of requests sent to the upstream since it
 // states a rate limit.
-func (u *Upstream) SentWhileLimited() int64 { return u.sentWhileLimited }
+func (u *Upstream) SentWhileLimited() int64 { return u.limit.sent }
+
+// LimitFraction returns the fraction of its rate limit that this entry may use.
+func (u *Upstream) LimitFraction() float64 { return u.limit.fraction }
 
 // Ejected reports whether the upstream is ejected after failures.
 func (u *Upstream) Ejected(now time.Time) bool { return now.Before(u.ejectedUntil) }
 
-// Usable reports whether requests may be sent to the upstream.
+// Usable reports whether requests may be sent to the upstream, within its rate limit.
 func (u *Upstream) Usable(now time.Time) bool {
 	return !u.removed && !u.spec.Draining && !u.Ejected(now)
 }
 
+// available reports whether a request may be sent to the upstream now.
+func (u *Upstream) available(now time.Time) bool { return u.Usable(now) && u.limit.allows(now) }
+
 const (
 	// failureWeight is the weight of one request in the failure rate.
 	failureWeight = 0.2
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -93,10 +93,8 @@
 		Secret: p.Secret(), Seeds: p.Seeds(), HeartbeatInterval: p.HeartbeatInterval(), BytesPerSecond: p.PeerBytesPerSecond(), Cache: &watcher.Cache{},
 		Instances: func() []storer.Instance { return []storer.Instance{} }, ApplyInstances: func([]storer.Instance) {},
 		DomainLocal: true,
-		Handler: func(ctx context.Context, path string, body []byte) (any, error) {
-			return g.tracker.Serve(ctx, path, body)
-		},
-		Log: log,
+		Handler:     g.servePeer,
+		Log:         log,
 	})
 	g.tracker = tracker.New(g.state, g.store, g.announcer, p.Name(), func() []announcer.Member { return g.table.Live(time.Now()) }, log)
 	if o.Bootstrap() {
@@ -109,6 +107,7 @@
 		Dialect: platform.Dialect{}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Entries:     g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
+		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 	})
 	g.callers = pipeliner.New(pipeliner.Options{
 		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), MaxConns: p.MaxConns(),
@@ -220,7 +219,7 @@
 	tasks := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits,
 	}
 	for _, f := range tasks {
 		group.Go(func() error { return f(taskCtx) })
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -181,10 +181,14 @@
 	return out, g.process.TTL()
 }
 
-// entries returns the number of entries, the number of those that serve a
-// service, and whether this entry is one of them.
+// entries returns the set of entries for a service as this entry sees it.
 func (g *Gateway) entries(service string) forwarder.EntrySet {
-	s := g.membership()
+	return g.membership().entrySet(g.process.Name(), service)
+}
+
+// entrySet returns the number of entries, the number of those that serve a service, and
+// whether the one named self is one of them.
+func (s *membership) entrySet(self, service string) forwarder.EntrySet {
 	e := forwarder.EntrySet{Total: max(1, len(s.all)), ProbeFraction: s.probeFractions}
 	total, own := 0.0, 0.0
 	for d := range s.byDomain {
@@ -192,7 +196,7 @@
 		e.Assigned += len(list)
 		for _, m := range list {
 			total += m.Load + baseLoad
-			if m.Name == g.process.Name() {
+			if m.Name == self {
 				e.IsAssigned, own = true, m.Load+baseLoad
 			}
 		}
