platform, tracker: the store's era is parsed and logged

Change: the header with the era is parsed into Delta, its changes are logged with the revisions of what was read and of the replica, and so is a read that is older than the replica; the era is a metric and in /status. What is applied is unchanged.

--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -33,6 +33,8 @@
 	Table     *announcer.Table
 	Announcer *announcer.Announcer
 	Forwarder *forwarder.Forwarder
+	// StoreEra returns the era of the store as of the last read.
+	StoreEra func() uint64
 	// StoreCalls returns the number of calls made to the store.
 	StoreCalls func() int64
 	// DroppedLogLines returns the number of dropped log lines.
@@ -84,6 +86,7 @@
 		read              func(o metric.Observer, i metric.Float64Observable)
 	}{
 		{"poplarwind.store.calls", "Calls to the platform's store.", g.scalar(func() float64 { return float64(g.sources.StoreCalls()) })},
+		{"poplarwind.store.era", "Era of the platform's store as of the last read.", g.scalar(func() float64 { return float64(g.sources.StoreEra()) })},
 		{"poplarwind.log.dropped", "Log lines dropped for a slow reader.", g.scalar(func() float64 { return float64(g.sources.DroppedLogLines()) })},
 		{"poplarwind.entries.live", "Live entries as this one sees them.", g.scalar(func() float64 { return float64(len(g.sources.Table.Live(time.Now()))) })},
 		{"poplarwind.requests.running", "Requests in flight.", g.scalar(func() float64 { return float64(g.sources.Forwarder.InFlight()) })},
@@ -176,6 +179,7 @@
 	Members    []announcer.Status          `json:"members"`
 	Services   []forwarder.ServiceStatus   `json:"services"`
 	StoreCalls int64                       `json:"calls"`
+	StoreEra   uint64                      `json:"era"`
 	Peers      announcer.Traffic           `json:"peers"`
 	InFlight   int                         `json:"running"`
 }
@@ -187,7 +191,7 @@
 	out := GatewayStatus{
 		Entry: s.Name, Ready: s.Ready(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(),
-		StoreCalls: s.StoreCalls(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(),
+		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
 		out.Version = t.Version()
--- a/tracker/acquire.go
+++ b/tracker/acquire.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	t.logRead(changes)
 	if err := t.apply(fresh.Add(-maxStaleness), list, "store"); err != nil {
 		return err
 	}
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -47,6 +47,10 @@
 // Delta is the changes of one kind between two revisions of the store.
 type Delta struct {
 	Kind Kind `json:"kind"`
+	// Era is the era of the store, which rises each time that the store has come back
+	// from a copy and has lost changes; revisions are then given out again. It is 0
+	// if unknown.
+	Era uint64 `json:"era,omitempty"`
 	// After and AsOf are the revisions before and after the changes.
 	After uint64 `json:"after,omitempty"`
 	AsOf  uint64 `json:"asof"`
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -95,6 +95,10 @@
 	log    *slog.Logger
 	// reachable holds whether the last call for each kind succeeded.
 	reachable [Kinds]atomic.Bool
+	// era holds the era of the store that was read last, and ignored whether the last
+	// delta of a kind that was read was older than the replica.
+	era     atomic.Uint64
+	ignored [Kinds]atomic.Bool
 	// updated signals Disseminate that there is an update to send.
 	updated chan struct{}
 	// start is when the tracker was created, and settle how long it then waits
@@ -330,12 +334,29 @@
 	if err != nil {
 		return err
 	}
+	t.logRead(d)
 	if stale {
 		fresh = fresh.Add(-maxStaleness)
 	}
 	return t.apply(fresh, d, "store")
 }
 
+// Era returns the era of the store as of the last read, 0 if it is unknown.
+func (t *Tracker) Era() uint64 { return t.era.Load() }
+
+// logRead logs a change of the store's era, and that what was read is older than the
+// replica.
+func (t *Tracker) logRead(d Delta) {
+	position := t.state.Position(time.Now(), d.Kind)
+	if was := t.era.Swap(d.Era); was != d.Era && was != 0 {
+		t.log.Warn("store era changed", "kind", d.Kind.String(), "era", d.Era, "was", was, "asof", d.AsOf, "replica_asof", position.AsOf)
+	}
+	older := d.AsOf < position.AsOf
+	if t.ignored[d.Kind].Swap(older) != older && older {
+		t.log.Warn("objects read from the store are older than the replica and are ignored", "kind", d.Kind.String(), "era", d.Era, "asof", d.AsOf, "replica_asof", position.AsOf, "snapshot", d.Snapshot)
+	}
+}
+
 func (t *Tracker) watch(ctx context.Context, k Kind, after uint64, wait time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
@@ -346,6 +367,7 @@
 	if err != nil {
 		return err
 	}
+	t.logRead(d)
 	if err := t.apply(time.Now(), d, "store"); !errors.Is(err, ErrGap) {
 		return err
 	}
