tracker: failing test of changes after the store was restored

The stand-ins of the store can be restored from a copy: the era rises, and revisions are given out again. 24 entries; the copy lacks 0, 1 or 6 changes, entries restart, are killed, frozen or cut off.

--- a/tracker/cluster_test.go
+++ b/tracker/cluster_test.go
@@ -17,11 +17,17 @@
 )
 
 // store is a fake store whose only object is the configuration. The version of
-// the configuration is the store's revision. Faults can be injected for each
-// entry.
+// the configuration is the store's revision until the store is restored. Faults can be
+// injected for each entry.
 type store struct {
 	mu       sync.Mutex
 	revision uint64
+	// era counts the times that the store was restored. The versions of the
+	// configuration at the revisions written since differ from these; latest is the
+	// highest version written.
+	era      uint64
+	versions map[uint64]int64
+	latest   int64
 	// oldest is the first revision after which changes can be watched.
 	oldest uint64
 	// changed is closed at the next write, nil if no watch waits for it.
@@ -38,11 +44,38 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.latest = max(s.latest, int64(s.revision)-1) + 1
+	if s.versions == nil {
+		s.versions = make(map[uint64]int64)
+	}
+	s.versions[s.revision] = s.latest
+	s.notify()
+	return uint64(s.latest)
+}
+
+func (s *store) notify() {
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
 	}
-	return s.revision
+}
+
+// restore replaces the contents by a copy that lacks the last changes.
+func (s *store) restore(changes uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest = max(s.latest, int64(s.revision))
+	s.revision -= changes
+	s.era++
+	s.notify()
+}
+
+// version returns the version of the configuration at a revision.
+func (s *store) version(revision uint64) int64 {
+	if v, ok := s.versions[revision]; ok {
+		return v
+	}
+	return int64(revision)
 }
 
 // responseTime is the response time of a healthy store.
@@ -74,7 +107,7 @@
 	if k != Configs || s.revision == 0 {
 		return nil
 	}
-	return []Change{{Name: "main", Revision: s.revision, Config: &router.Spec{Version: int64(s.revision)}}}
+	return []Change{{Name: "main", Revision: s.revision, Config: &router.Spec{Version: s.version(s.revision)}}}
 }
 
 func (s storeSource) List(ctx context.Context, k Kind, stale bool) (Delta, error) {
@@ -83,10 +116,10 @@
 	}
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
-	d := Delta{Kind: k, Snapshot: true, AsOf: max(1, s.store.revision), Changes: s.store.change(k)}
+	d := Delta{Kind: k, Era: 1 + s.store.era, Snapshot: true, AsOf: max(1, s.store.revision), Changes: s.store.change(k)}
 	if stale && s.store.lag > 0 {
 		d.AsOf -= s.store.lag
-		d.Changes = []Change{{Name: "main", Revision: d.AsOf, Config: &router.Spec{Version: int64(d.AsOf)}}}
+		d.Changes = []Change{{Name: "main", Revision: d.AsOf, Config: &router.Spec{Version: s.store.version(d.AsOf)}}}
 	}
 	return d, nil
 }
@@ -99,11 +132,11 @@
 	defer timer.Stop()
 	for {
 		s.store.mu.Lock()
-		if after < s.store.oldest {
+		if after < s.store.oldest || after > s.store.revision {
 			s.store.mu.Unlock()
 			return Delta{}, errors.Trace(ErrCompacted)
 		}
-		d := Delta{Kind: k, After: after, AsOf: max(1, s.store.revision)}
+		d := Delta{Kind: k, Era: 1 + s.store.era, After: after, AsOf: max(1, s.store.revision)}
 		if s.store.revision > after {
 			d.Changes = s.store.change(k)
 		}
--- /dev/null
+++ b/tracker/restore_test.go
@@ -0,0 +1,108 @@
+package tracker
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"poplarwind/announcer"
+)
+
+// TestChangesAfterStoreRestored restores the store from a copy that lacks some changes,
+// after it was away, while entries restart, are killed, frozen or cut off from all others.
+// Every entry must have each later change within propagationBound and never an older
+// version than before, and the number of reads must stay bounded.
+func TestChangesAfterStoreRestored(t *testing.T) {
+	faults := map[string]func(ctx context.Context, c *cluster){
+		"none": func(context.Context, *cluster) {},
+		"restarts": func(ctx context.Context, c *cluster) {
+			for _, m := range c.members()[3:6] {
+				c.start(ctx, m, false, false)
+			}
+		},
+		"heads killed": func(_ context.Context, c *cluster) { c.remove(c.heads()...) },
+		"frozen until later": func(_ context.Context, c *cluster) {
+			// A frozen entry wakes up with the replica of the earlier era.
+			c.isolate(4*time.Second, c.members()[0], c.members()[7])
+		},
+		"cut off from others": func(_ context.Context, c *cluster) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.partitioned[c.live[0].Name], c.partitioned[c.live[4].Name] = true, true
+		},
+	}
+	for name, fault := range faults {
+		for _, lost := range []uint64{0, 1, 6} {
+			for _, away := range []time.Duration{0, 2 * time.Second} {
+				t.Run(fmt.Sprintf("%s/%d/%v", name, lost, away), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						ctx, cancel := context.WithCancel(t.Context())
+						defer time.Sleep(5 * time.Second)
+						defer cancel()
+						c := startFleet(ctx, 24, time.Second)
+						time.Sleep(8 * time.Second)
+						for range 6 {
+							c.store.write()
+							time.Sleep(300 * time.Millisecond)
+						}
+						time.Sleep(propagationBound)
+						reads, highest := c.reads(), make(map[string]int64)
+						c.checkVersions(t, highest)
+						c.setFailing(true, c.members()...)
+						time.Sleep(away)
+						c.store.restore(lost)
+						c.setFailing(false, c.members()...)
+						fault(ctx, c)
+						for range 3 {
+							// As many changes as were lost, so that the store gives out
+							// the same revisions again.
+							want := int64(0)
+							for range max(1, lost) {
+								want = int64(c.store.write())
+								time.Sleep(100 * time.Millisecond)
+								c.checkVersions(t, highest)
+							}
+							time.Sleep(5 * time.Second)
+							c.checkVersions(t, highest)
+							if got := c.outdated(want); len(got) > 0 {
+								t.Fatalf("got: %d entries without version %d, %v want: none", len(got), want, got[:min(3, len(got))])
+							}
+						}
+						if got := c.reads() - reads; got > 400 {
+							t.Errorf("got: %d counted reads want: at most 400", got)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// isolate cuts entries off from the store and all others for a time.
+func (c *cluster) isolate(d time.Duration, entries ...announcer.Member) {
+	set := func(on bool) {
+		c.mu.Lock()
+		for _, m := range entries {
+			c.partitioned[m.Name] = on
+		}
+		c.mu.Unlock()
+		c.setFailing(on, entries...)
+	}
+	set(true)
+	time.AfterFunc(d, func() { set(false) })
+}
+
+// checkVersions checks that no entry has an older version than before; highest holds
+// those.
+func (c *cluster) checkVersions(t *testing.T, highest map[string]int64) {
+	t.Helper()
+	for _, m := range c.members() {
+		v := c.version(m.Name)
+		if v != 0 && v < highest[m.Name] {
+			t.Errorf("%s: got: version %d after %d want: never an older one", m.Name, v, highest[m.Name])
+		}
+		highest[m.Name] = max(highest[m.Name], v)
+	}
+}
