tracker: positions in the store are an era and a revision

Cause: replicas compared what they read by revision alone. The copy stood at revision 50, the replicas at 51: its lists were ignored as old, and read again at once. The next configuration got revision 51, which the replicas had: the watch went on behind it. The class of fault is an order that is valid within one incarnation of its source, used across several.

Ruled out: the version of the configuration (a higher one was ignored too); the exchange between entries (each read the store and ignored it by itself).

Change: positions, deltas, updates and queries carry the era, which is compared first. A watch with a response of a later era is followed by a list. Stale lists of a store that was ever restored are read again. A configuration of a lower version never replaces one of a higher.

Why it works: what is read in a later era is newer than any replica of an earlier one, at whatever revision, and what arrives late from an earlier era is older.

--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -116,7 +116,7 @@
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, StoreCalls: g.store.Calls, StoreEra: g.tracker.Era, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, StoreCalls: g.store.Calls, StoreEra: func() uint64 { return g.state.Position(time.Now(), tracker.Configs).Era }, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
--- a/tracker/acquire.go
+++ b/tracker/acquire.go
@@ -85,15 +85,17 @@
 	if err != nil {
 		return err
 	}
+	if list.Era > firstEra {
+		return t.list(ctx, k, false)
+	}
 	fresh := time.Now()
 	changes, err := t.source.Watch(ctx, k, list.AsOf, time.Millisecond)
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, ErrCompacted) || err == nil && changes.Era != list.Era {
 		return t.list(ctx, k, false)
 	}
 	if err != nil {
 		return err
 	}
-	t.logRead(changes)
 	if err := t.apply(fresh.Add(-maxStaleness), list, "store"); err != nil {
 		return err
 	}
--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -27,7 +27,7 @@
 
 // Disseminate sends updates to this entry's recipients until ctx ends.
 func (t *Tracker) Disseminate(ctx context.Context) error {
-	var sent [Kinds]uint64
+	var sent [Kinds]Position
 	for ctx.Err() == nil {
 		select {
 		case <-t.updated:
@@ -43,10 +43,10 @@
 		}
 		for k := range Kinds {
 			u.Positions[k] = t.state.Position(now, k)
-			if u.Positions[k].AsOf > sent[k] && sent[k] > 0 {
-				u.Deltas = append(u.Deltas, t.state.Since(k, sent[k]))
+			if p := u.Positions[k]; p.Era == sent[k].Era && p.AsOf > sent[k].AsOf && sent[k].AsOf > 0 {
+				u.Deltas = append(u.Deltas, t.state.Since(k, sent[k].Era, sent[k].AsOf))
 			}
-			sent[k] = u.Positions[k].AsOf
+			sent[k] = u.Positions[k]
 		}
 		body, err := announcer.Pack(u)
 		if err != nil {
@@ -85,7 +85,7 @@
 		if !u.Positions[k].valid() {
 			continue
 		}
-		known, newer := t.state.ConfirmFresh(now.Add(-u.Positions[k].Age), k, u.Positions[k].AsOf)
+		known, newer := t.state.ConfirmFresh(now.Add(-u.Positions[k].Age), k, u.Positions[k].Era, u.Positions[k].AsOf)
 		forward = forward || newer
 		if known {
 			continue
@@ -101,9 +101,10 @@
 	}
 }
 
-// Query requests the changes of a kind after a revision from another entry.
+// Query requests the changes of a kind after a revision of an era from another entry.
 type Query struct {
 	Kind  Kind   `json:"kind"`
+	Era   uint64 `json:"era,omitempty"`
 	After uint64 `json:"after"`
 }
 
@@ -130,8 +131,8 @@
 	if q.Kind < 0 || q.Kind >= Kinds {
 		return nil, errors.NotValidf("kind %d", int(q.Kind))
 	}
-	if q.After > 0 {
-		d, position := t.state.SinceAt(time.Now(), q.Kind, q.After)
+	if q.After > 0 && q.Era == t.state.Position(time.Now(), q.Kind).Era {
+		d, position := t.state.SinceAt(time.Now(), q.Kind, q.Era, q.After)
 		return Reply{Position: position, Delta: d}, nil
 	}
 	s := &t.replies[q.Kind]
@@ -142,7 +143,7 @@
 		return s.body, nil
 	}
 	var r Reply
-	r.Delta, r.Position = t.state.SinceAt(now, q.Kind, 0)
+	r.Delta, r.Position = t.state.SinceAt(now, q.Kind, 0, 0)
 	r.Position.Age = min(r.Position.Age+snapshotReplyTTL, maxAge)
 	body, err := announcer.Pack(r)
 	if err != nil {
@@ -210,8 +211,9 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	var r Reply
-	q := Query{Kind: k, After: t.state.Position(time.Now(), k).AsOf}
 	sentAt := time.Now()
+	position := t.state.Position(sentAt, k)
+	q := Query{Kind: k, Era: position.Era, After: position.AsOf}
 	if err := t.peers.Send(ctx, m, PathState, q, &r); err != nil {
 		t.log.Debug("state query to peer failed", "peer", m.Name, "error", err.Error())
 		return false
--- a/tracker/restore_test.go
+++ b/tracker/restore_test.go
@@ -7,7 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
 	"poplarwind/announcer"
+	"poplarwind/router"
 )
 
 // TestChangesAfterStoreRestored restores the store from a copy that lacks some changes,
@@ -106,3 +110,56 @@
 		highest[m.Name] = max(highest[m.Name], v)
 	}
 }
+
+// TestReplicaErasInAnyOrder applies deltas of a store that was restored several times,
+// in any order, late and repeatedly. The replica must never go back to an earlier era or
+// revision, nor to an earlier version of the configuration, and its revision must never
+// come from the changes of another era.
+func TestReplicaErasInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var origin, follower State
+		era, revision, version := uint64(1), uint64(0), int64(0)
+		var sent []Delta
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			snapshot := revision == 0
+			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 && revision > 0 {
+				era++
+				revision -= uint64(rapid.IntRange(0, int(min(revision, 4))).Draw(t, "lost"))
+				snapshot = true
+			}
+			version++
+			d := Delta{Kind: Configs, Era: era, After: revision, AsOf: revision + 1, Snapshot: snapshot, Changes: []Change{{
+				Name: "main", Revision: revision + 1, Config: &router.Spec{Version: version - int64(rapid.IntRange(0, 1).Draw(t, "older"))},
+			}}}
+			revision++
+			if _, err := origin.Apply(now, d); err != nil {
+				t.Fatal(err)
+			}
+			sent = append(sent, d, origin.Since(Configs, era, 0))
+			for range rapid.IntRange(0, 3).Draw(t, "deliveries") {
+				d := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
+				before, old := follower.Position(now, Configs), follower.All(Configs)
+				if _, err := follower.Apply(now, d); err != nil && !errors.Is(err, ErrGap) {
+					t.Fatal(err)
+				}
+				after := follower.Position(now, Configs)
+				if before.newer(after.Era, after.AsOf) {
+					t.Fatalf("got: %+v after %+v want: not older", after, before)
+				}
+				if after.Era > before.Era && before.AsOf > 0 && !d.Snapshot {
+					t.Fatalf("got: era %d after %d by changes want: by a snapshot", after.Era, before.Era)
+				}
+				if list := follower.All(Configs); len(old) > 0 && list[0].Config.Version < old[0].Config.Version {
+					t.Fatalf("got: version %d after %d want: never an older one", list[0].Config.Version, old[0].Config.Version)
+				}
+			}
+		}
+		if _, err := follower.Apply(now, origin.Since(Configs, era, 0)); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := follower.All(Configs)[0].Config.Version, origin.All(Configs)[0].Config.Version; got != want {
+			t.Fatalf("got: version %d want: %d", got, want)
+		}
+	})
+}
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -44,12 +44,12 @@
 	Upstream *placer.Spec `json:"upstream,omitempty"`
 }
 
-// Delta is the changes of one kind between two revisions of the store.
+// Delta is the changes of one kind between two revisions of the store, in one era.
 type Delta struct {
 	Kind Kind `json:"kind"`
 	// Era is the era of the store, which rises each time that the store has come back
 	// from a copy and has lost changes; revisions are then given out again. It is 0
-	// if unknown.
+	// if unknown, which counts as that of the replica.
 	Era uint64 `json:"era,omitempty"`
 	// After and AsOf are the revisions before and after the changes.
 	After uint64 `json:"after,omitempty"`
@@ -66,6 +66,8 @@
 // replica is the local replica of the objects of one kind.
 type replica struct {
 	items map[string]Change
+	// era is the era of the store that the revisions belong to. It never falls.
+	era uint64
 	// asOf is the revision of the store that the items reflect, 0 before the
 	// first delta.
 	asOf uint64
@@ -98,8 +100,8 @@
 
 // Apply applies a delta that was the store's newest state at fresh. It returns
 // the changes that the replica did not have, including the removals that a
-// snapshot implies, or ErrGap. A delta that ends before the replica's revision
-// has no effect.
+// snapshot implies, or ErrGap. A delta that ends before the replica's revision, or
+// belongs to an earlier era, has no effect. Only a snapshot leads to a later era.
 func (s *State) Apply(fresh time.Time, d Delta) ([]Change, error) {
 	if d.Kind < 0 || d.Kind >= Kinds {
 		return nil, errors.NotValidf("kind %d", int(d.Kind))
@@ -107,14 +109,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &s.kinds[d.Kind]
+	if d.Era == 0 {
+		d.Era = r.era
+	}
 	if !r.applicable(d) {
 		return nil, errors.Trace(ErrGap)
 	}
-	if d.AsOf < r.asOf {
+	if (Position{Era: r.era, AsOf: r.asOf}).newer(d.Era, d.AsOf) {
 		return nil, nil
 	}
 	var missing []Change
-	if d.AsOf > r.asOf || r.items == nil {
+	switch {
+	case d.Era > r.era && r.items != nil:
+		missing = r.startEra(d)
+	case d.AsOf > r.asOf || r.items == nil:
+		r.era = d.Era
 		missing = r.missing(d)
 		r.update(d, missing)
 	}
@@ -128,16 +137,66 @@
 	return missing, nil
 }
 
+// startEra replaces the items by a snapshot of a later era and returns those that differ.
+// The revisions of the two eras can't be compared.
+func (r *replica) startEra(d Delta) []Change {
+	before := r.items
+	*r = replica{era: d.Era, items: make(map[string]Change, len(d.Changes)), asOf: d.AsOf}
+	var out []Change
+	for _, c := range d.Changes {
+		if c.HappenedBy == 0 {
+			c.HappenedBy = d.AsOf
+		}
+		old, ok := before[c.Name]
+		c = newerConfig(old, c)
+		r.items[c.Name] = c
+		if !ok || !sameObject(old, c) {
+			out = append(out, c)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		if _, ok := r.items[name]; ok {
+			continue
+		}
+		if old := before[name]; old.Config != nil {
+			// The copy is from before the first configuration.
+			old.HappenedBy = d.AsOf
+			r.items[name] = old
+			continue
+		}
+		out = append(out, Change{Name: name, Removed: true, HappenedBy: d.AsOf})
+	}
+	return out
+}
+
+// newerConfig returns a change, with the configuration of the state before it if that has
+// a higher version: a store that has lost changes returns earlier versions, and they are
+// written again in their order.
+func newerConfig(old, c Change) Change {
+	if old.Config != nil && !c.Removed && (c.Config == nil || c.Config.Version < old.Config.Version) {
+		c.Config = old.Config
+	}
+	return c
+}
+
+// sameObject reports whether two changes lead to the same object.
+func sameObject(a, b Change) bool {
+	if a.Upstream != nil && b.Upstream != nil {
+		return *a.Upstream == *b.Upstream
+	}
+	return a.Upstream == b.Upstream && a.Config == b.Config
+}
+
 // applicable reports whether the delta can be applied. A delta that starts
 // before the replica's revision repeats changes that the replica has, and a
 // later change that reverted one of them may be absent from it. Such a delta is
 // applicable only if each of its changes carries the revision by which it
 // happened.
 func (r *replica) applicable(d Delta) bool {
-	if d.Snapshot {
+	if d.Snapshot || d.Era < r.era {
 		return true
 	}
-	if r.items == nil || d.After > r.asOf {
+	if r.items == nil || d.Era > r.era || d.After > r.asOf {
 		return false
 	}
 	return d.After == r.asOf || !slices.ContainsFunc(d.Changes, func(c Change) bool { return c.HappenedBy == 0 })
@@ -156,6 +215,7 @@
 			c.HappenedBy = d.AsOf
 		}
 		old, ok := r.items[c.Name]
+		c = newerConfig(old, c)
 		if !d.Snapshot || !ok || c.Revision != old.Revision {
 			out = append(out, c)
 		}
@@ -184,7 +244,7 @@
 		}
 	}
 	if len(changes) > 0 {
-		r.log = append(r.log, Delta{Kind: d.Kind, After: r.asOf, AsOf: d.AsOf, Changes: changes})
+		r.log = append(r.log, Delta{Kind: d.Kind, Era: r.era, After: r.asOf, AsOf: d.AsOf, Changes: changes})
 		r.log = r.log[max(0, len(r.log)-maxLog):]
 	} else if n := len(r.log); n > 0 {
 		r.log[n-1].AsOf = d.AsOf
@@ -192,25 +252,28 @@
 	r.asOf = d.AsOf
 }
 
-// Since returns the changes after a revision, or a snapshot if the log does not
+// Since returns the changes after a revision of an era, or a snapshot if the log does not
 // reach back to it.
-func (s *State) Since(k Kind, after uint64) Delta {
+func (s *State) Since(k Kind, era, after uint64) Delta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.since(k, after)
+	return s.since(k, era, after)
 }
 
 // SinceAt returns the result of Since together with the position that it leads to.
-func (s *State) SinceAt(now time.Time, k Kind, after uint64) (Delta, Position) {
+func (s *State) SinceAt(now time.Time, k Kind, era, after uint64) (Delta, Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.since(k, after), s.kinds[k].position(now)
+	return s.since(k, era, after), s.kinds[k].position(now)
 }
 
 // since implements Since. The lock must be held.
-func (s *State) since(k Kind, after uint64) Delta {
+func (s *State) since(k Kind, era, after uint64) Delta {
 	r := &s.kinds[k]
-	d := Delta{Kind: k, After: after, AsOf: r.asOf}
+	if era != r.era {
+		after = 0
+	}
+	d := Delta{Kind: k, Era: r.era, After: after, AsOf: r.asOf}
 	if after >= r.asOf {
 		return d
 	}
@@ -237,6 +300,8 @@
 
 // Position is the revision and the age of the replica of a kind.
 type Position struct {
+	// Era is the era of the store that the revision belongs to, 0 if unknown.
+	Era  uint64 `json:"era,omitempty"`
 	AsOf uint64 `json:"asof"`
 	// Age is the time since the revision was last certain to be the store's
 	// newest, at most maxAge.
@@ -247,11 +312,17 @@
 // store's newest, so that times computed from them do not overflow.
 const maxAge = 24 * time.Hour
 
+// newer reports whether the position is newer than a revision of an era, which is 0 if
+// unknown.
+func (p Position) newer(era, asOf uint64) bool {
+	return era > 0 && era < p.Era || (era == 0 || era == p.Era) && asOf < p.AsOf
+}
+
 // valid reports whether a position received from another entry can be used.
 func (p Position) valid() bool { return p.Age >= 0 && p.Age <= maxAge }
 
 func (r *replica) position(now time.Time) Position {
-	return Position{AsOf: r.asOf, Age: min(max(now.Sub(r.fresh), 0), maxAge)}
+	return Position{Era: r.era, AsOf: r.asOf, Age: min(max(now.Sub(r.fresh), 0), maxAge)}
 }
 
 // Position returns the revision and the age of the replica of a kind. AsOf is 0 if
@@ -262,17 +333,23 @@
 	return s.kinds[k].position(now)
 }
 
-// ConfirmFresh records that revision asOf was the store's newest at fresh. It
-// reports whether the replica has that revision, and whether this confirmed it at a
-// later time than known before.
-func (s *State) ConfirmFresh(fresh time.Time, k Kind, asOf uint64) (known, newer bool) {
+// ConfirmFresh records that revision asOf of an era was the store's newest at fresh. It
+// reports whether the replica has that revision or a later one, and whether this
+// confirmed it at a later time than known before.
+func (s *State) ConfirmFresh(fresh time.Time, k Kind, era, asOf uint64) (known, newer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &s.kinds[k]
-	if asOf > r.asOf {
-		return false, false
+	if era == 0 {
+		era = r.era
+	}
+	switch {
+	case (Position{Era: r.era, AsOf: r.asOf}).newer(era, asOf):
+		return true, false
+	case era > r.era || asOf > r.asOf:
+		return asOf == 0, false
 	}
-	newer = asOf > 0 && asOf == r.asOf && fresh.After(r.fresh)
+	newer = asOf > 0 && fresh.After(r.fresh)
 	if newer {
 		r.fresh = fresh
 	}
--- a/tracker/state_test.go
+++ b/tracker/state_test.go
@@ -27,7 +27,7 @@
 		if _, err := origin.Apply(now, Delta{Kind: Upstreams, Snapshot: true, AsOf: 1}); err != nil {
 			t.Fatal(err)
 		}
-		old := []Delta{origin.Since(Upstreams, 0)}
+		old := []Delta{origin.Since(Upstreams, 0, 0)}
 		revision := uint64(1)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			name := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "name"))
@@ -38,7 +38,7 @@
 			if _, err := origin.Apply(now, Delta{Kind: Upstreams, After: after, AsOf: revision, Changes: []Change{c}}); err != nil {
 				t.Fatal(err)
 			}
-			old = append(old, origin.Since(Upstreams, uint64(rapid.IntRange(0, int(revision)).Draw(t, "since"))))
+			old = append(old, origin.Since(Upstreams, 0, uint64(rapid.IntRange(0, int(revision)).Draw(t, "since"))))
 			if rapid.Bool().Draw(t, "deliver") {
 				d := old[rapid.IntRange(0, len(old)-1).Draw(t, "which")]
 				before := follower.Position(now, Upstreams).AsOf
@@ -51,7 +51,7 @@
 				}
 			}
 		}
-		if _, err := follower.Apply(now, origin.Since(Upstreams, follower.Position(now, Upstreams).AsOf)); err != nil {
+		if _, err := follower.Apply(now, origin.Since(Upstreams, 0, follower.Position(now, Upstreams).AsOf)); err != nil {
 			t.Fatal(err)
 		}
 		got, want := follower.All(Upstreams), origin.All(Upstreams)
@@ -148,7 +148,7 @@
 		}
 	}
 	s := &State{}
-	if _, p := s.SinceAt(time.Now(), Configs, 0); p.Age != maxAge {
+	if _, p := s.SinceAt(time.Now(), Configs, 0, 0); p.Age != maxAge {
 		t.Errorf("got: age %v of an empty replica want: %v", p.Age, maxAge)
 	}
 	if _, err := s.Apply(time.Now().Add(time.Hour), Delta{Kind: Configs, Snapshot: true, AsOf: 3}); err != nil {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -95,9 +95,8 @@
 	log    *slog.Logger
 	// reachable holds whether the last call for each kind succeeded.
 	reachable [Kinds]atomic.Bool
-	// era holds the era of the store that was read last, and ignored whether the last
-	// delta of a kind that was read was older than the replica.
-	era     atomic.Uint64
+	// ignored holds whether the last delta of a kind that was read was older than the
+	// replica.
 	ignored [Kinds]atomic.Bool
 	// updated signals Disseminate that there is an update to send.
 	updated chan struct{}
@@ -186,7 +185,7 @@
 	if role.Rank > 0 && role.Rank < readersPerDomain {
 		t.setDeputizing()
 	}
-	err := t.watch(ctx, k, position.AsOf, wait)
+	err := t.watch(ctx, k, position, wait)
 	t.setReachable(k, err)
 	t.recordRead(time.Now(), err)
 	if err == nil {
@@ -317,57 +316,61 @@
 	if position.AsOf == 0 {
 		err = t.list(ctx, k, false)
 	} else {
-		err = t.watch(ctx, k, position.AsOf, time.Millisecond)
+		err = t.watch(ctx, k, position, time.Millisecond)
 	}
 	t.setReachable(k, err)
 	return err == nil
 }
 
-// maxStaleness is the assumed age of a stale list.
-const maxStaleness = 10 * time.Second
+const (
+	// maxStaleness is the assumed age of a stale list.
+	maxStaleness = 10 * time.Second
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
+)
 
+// list reads all objects of a kind and applies them. A stale list of a store that was
+// restored may be from before that, with the same revisions: the list is then read again.
 func (t *Tracker) list(ctx context.Context, k Kind, stale bool) error {
-	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+	limited, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	fresh := time.Now()
-	d, err := t.source.List(ctx, k, stale)
+	d, err := t.source.List(limited, k, stale)
 	if err != nil {
 		return err
 	}
-	t.logRead(d)
+	if stale && d.Era > firstEra {
+		return t.list(ctx, k, false)
+	}
+	t.logIgnored(d)
 	if stale {
 		fresh = fresh.Add(-maxStaleness)
 	}
 	return t.apply(fresh, d, "store")
 }
 
-// Era returns the era of the store as of the last read, 0 if it is unknown.
-func (t *Tracker) Era() uint64 { return t.era.Load() }
-
-// logRead logs a change of the store's era, and that what was read is older than the
-// replica.
-func (t *Tracker) logRead(d Delta) {
+// logIgnored logs that what was read is older than the replica, when this begins.
+func (t *Tracker) logIgnored(d Delta) {
 	position := t.state.Position(time.Now(), d.Kind)
-	if was := t.era.Swap(d.Era); was != d.Era && was != 0 {
-		t.log.Warn("store era changed", "kind", d.Kind.String(), "era", d.Era, "was", was, "asof", d.AsOf, "replica_asof", position.AsOf)
-	}
-	older := d.AsOf < position.AsOf
+	older := position.newer(d.Era, d.AsOf)
 	if t.ignored[d.Kind].Swap(older) != older && older {
-		t.log.Warn("objects read from the store are older than the replica and are ignored", "kind", d.Kind.String(), "era", d.Era, "asof", d.AsOf, "replica_asof", position.AsOf, "snapshot", d.Snapshot)
+		t.log.Warn("objects read from the store are older than the replica and are ignored", "kind", d.Kind.String(), "era", d.Era, "asof", d.AsOf, "replica_era", position.Era, "replica_asof", position.AsOf, "snapshot", d.Snapshot)
 	}
 }
 
-func (t *Tracker) watch(ctx context.Context, k Kind, after uint64, wait time.Duration) error {
+// watch waits for changes after a position and applies them. Changes of a later era don't
+// continue from the replica, even if their revisions do: all objects are then listed.
+func (t *Tracker) watch(ctx context.Context, k Kind, after Position, wait time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
-	d, err := t.source.Watch(limited, k, after, wait)
-	if errors.Is(err, ErrCompacted) {
+	d, err := t.source.Watch(limited, k, after.AsOf, wait)
+	if errors.Is(err, ErrCompacted) || err == nil && d.Era > after.Era {
 		return t.list(ctx, k, false)
 	}
 	if err != nil {
 		return err
 	}
-	t.logRead(d)
+	t.logIgnored(d)
 	if err := t.apply(time.Now(), d, "store"); !errors.Is(err, ErrGap) {
 		return err
 	}
@@ -377,10 +380,14 @@
 
 // apply applies a delta to the replica and signals an update to be sent.
 func (t *Tracker) apply(fresh time.Time, d Delta, from string) error {
+	before := t.state.Position(time.Now(), d.Kind)
 	changes, err := t.state.Apply(fresh, d)
 	if err != nil {
 		return err
 	}
+	if after := t.state.Position(time.Now(), d.Kind); after.Era != before.Era && before.AsOf > 0 {
+		t.log.Warn("store era changed", "kind", d.Kind.String(), "era", after.Era, "was", before.Era, "asof", after.AsOf, "was_asof", before.AsOf, "objects", len(changes), "from", from)
+	}
 	t.logChanges(d, changes, from)
 	t.signalUpdate()
 	return nil
