tracker: upstreams that departed stay out of use when the store is restored

What callers saw: none yet; found by looking for the same cause elsewhere. With eras in place, a store that comes back from a copy makes entries use upstreams again that are draining or were removed since the copy was made, and drop those that were added.

Cause: the list of a later era replaced what was known of the upstreams, although it is older. The store's removal of a record is final for its process, and so is draining.

Ruled out: the sequences in the records as a measure of age; a change of the sequence alone is no change of the record, so what an entry knows of them is as old as the copy.

Change: the filter of expired records remembers which upstreams were draining or removed in the last minute, and at a later era withholds those that are listed as ready until their record has another revision, for 6 s at most. Upstreams that the copy lacks are held for as long as expired ones, also if there are few.

--- a/runner/apply.go
+++ b/runner/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"poplarwind/placer"
 	"poplarwind/router"
 	"poplarwind/tracker"
 )
@@ -54,13 +53,15 @@
 // lists and those that a lease still holds. It returns the time of the next
 // lease expiry, the zero time if there is none.
 func (g *Gateway) applyUpstreams() time.Time {
-	listed := make(map[string]placer.Spec)
-	for _, c := range g.state.All(tracker.Upstreams) {
+	now := time.Now()
+	list, position := g.state.SinceAt(now, tracker.Upstreams, 0, 0)
+	listed := make(map[string]tracker.ListedUpstream)
+	for _, c := range list.Changes {
 		if c.Upstream != nil {
-			listed[c.Name] = *c.Upstream
+			listed[c.Name] = tracker.ListedUpstream{Spec: *c.Upstream, Revision: c.Revision}
 		}
 	}
-	active, recheckAt := g.expiry.Apply(time.Now(), listed)
+	active, recheckAt := g.expiry.Apply(now, position.Era, listed)
 	for id := range g.active {
 		if _, ok := active[id]; !ok {
 			g.forwarder.RemoveUpstream(id)
--- a/tracker/state_test.go
+++ b/tracker/state_test.go
@@ -101,9 +101,12 @@
 func TestExpiry(t *testing.T) {
 	scripter.Run(t, "testdata/expiry*.txt", func(*testing.T) func([]string) string {
 		f := ExpiryFilter{Hold: 1500 * time.Millisecond}
-		now := time.Unix(1000, 0)
+		now, era := time.Unix(1000, 0), uint64(1)
 		return func(args []string) string {
 			switch args[0] {
+			case "restore":
+				era++
+				return ""
 			case "advance":
 				d, err := time.ParseDuration(args[1])
 				if err != nil {
@@ -111,13 +114,18 @@
 				}
 				now = now.Add(d)
 				return ""
-			case "list": // list ids..., with ! after those that are draining
-				listed := make(map[string]placer.Spec)
+			case "list": // list id[@revision][+process][!]..., with ! after those that are draining
+				listed := make(map[string]ListedUpstream)
 				for _, a := range args[1:] {
-					id := strings.TrimSuffix(a, "!")
-					listed[id] = placer.Spec{ID: id, Service: id[:1], Draining: id != a}
+					name, draining := strings.CutSuffix(a, "!")
+					name, process, _ := strings.Cut(name, "+")
+					id, revision, _ := strings.Cut(name, "@")
+					listed[id] = ListedUpstream{
+						Spec:     placer.Spec{ID: id, Service: id[:1], Draining: draining, StartedAt: int64(len(process))},
+						Revision: uint64(len(revision)),
+					}
 				}
-				use, next := f.Apply(now, listed)
+				use, next := f.Apply(now, era, listed)
 				var out []string
 				for _, id := range []string{"a1", "a2", "a3", "a4", "b1", "b2"} {
 					if _, ok := use[id]; ok {
