runner: an entry registers again when the store is restored

What callers saw: none yet; found by looking for the same cause elsewhere. A store that comes back from a copy may lack the records of entries that were written since. An entry took itself for registered for good, so that entries that start with seeds that are down find no other.

Cause: as with the replicas, what was true in one era of the store was taken to hold in the next. A stale list, from which entries learn that they are registered, may be from before as well.

Change: an entry knows the era in which its record was confirmed and writes it again in a later one; after a restore only a current list confirms it.

--- a/runner/register.go
+++ b/runner/register.go
@@ -42,7 +42,8 @@
 // the first of its failure domain, writes it to the list. It writes nothing if the
 // list already has an equal record of an earlier process: many processes may start
 // at the same time. An entry reads the list while it knows no other entry, before it
-// registers, and then rarely.
+// registers, and then rarely. A store that comes back from a copy may have lost the
+// record, which is then written again.
 func (g *Gateway) register(ctx context.Context) error {
 	self, _ := g.table.Self()
 	self.Epoch = 0
@@ -51,38 +52,65 @@
 		delay = initialRegisterDelay
 		sleeper.Sleep(ctx, initialRegisterInterval)
 	}
-	registered, nextList := false, start.Add(g.listInterval())
+	nextList := start.Add(g.listInterval())
+	registered := registration{}
 	for ; ctx.Err() == nil; sleeper.Sleep(ctx, registerInterval) {
 		now := time.Now()
+		era := g.state.Position(now, tracker.Configs).Era
+		if registered.lost(era) && g.writeRegistration(ctx, self) {
+			registered.confirm(era)
+		}
 		live := g.table.Live(now)
-		candidate := !registered && now.Sub(start) > delay && tracker.RoleOf(self.Name, live).Rank < registeredPerDomain
+		candidate := !registered.confirmed && now.Sub(start) > delay && tracker.RoleOf(self.Name, live).Rank < registeredPerDomain
 		if len(live) > 1 && !candidate && now.Before(nextList) {
 			continue
 		}
-		list, err := g.listEntries(ctx)
+		// A stale list may be from an earlier era, and have a record that was lost.
+		restored := era > tracker.FirstEra
+		list, err := g.listEntries(ctx, !candidate || !restored)
 		if err != nil {
 			g.log.Warn("reading the list of entries failed", "error", err.Error())
 			continue
 		}
 		nextList = now.Add(g.listInterval())
 		g.table.MergeDescriptions(now, false, list...)
-		registered = registered || slices.ContainsFunc(list, func(m announcer.Member) bool { return reflect.DeepEqual(m, self) })
-		if candidate && !registered {
-			registered = g.writeRegistration(ctx, self)
+		listed := slices.ContainsFunc(list, func(m announcer.Member) bool { return reflect.DeepEqual(m, self) })
+		switch {
+		case registered.confirmed:
+		case listed && (candidate || !restored), candidate && g.writeRegistration(ctx, self):
+			registered.confirm(era)
 		}
 	}
 	return nil
 }
 
+// registration is whether the store has the record of this entry.
+type registration struct {
+	confirmed bool
+	// era is the era of the store in which it was confirmed, 0 if unknown.
+	era uint64
+}
+
+func (r *registration) confirm(era uint64) { r.confirmed, r.era = true, era }
+
+// lost reports whether the store may have lost the record since it was confirmed, because
+// it came back from a copy.
+func (r *registration) lost(era uint64) bool {
+	if r.era == 0 {
+		r.era = era
+	}
+	return r.confirmed && era > r.era
+}
+
 // listInterval returns the time between two reads of the list of entries.
 func (g *Gateway) listInterval() time.Duration {
 	return max(minListInterval, listIntervalPerEntry*time.Duration(len(g.table.Live(time.Now()))))
 }
 
-func (g *Gateway) listEntries(ctx context.Context) ([]announcer.Member, error) {
+func (g *Gateway) listEntries(ctx context.Context, stale bool) ([]announcer.Member, error) {
 	limited, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	return g.store.Registered(limited)
+	return g.store.Registered(limited, stale)
 }
 
 // writeRegistration writes this entry to the store and reports whether the store
--- a/runner/register_test.go
+++ b/runner/register_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
+
+	"poplarwind/announcer"
+	"poplarwind/platform"
 )
 
 // awaitRegistered waits until the store lists the entry, and then for any further
@@ -12,7 +16,7 @@
 	s.t.Helper()
 	for start := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		list, err := g.store.Registered(ctx)
+		list, err := g.store.Registered(ctx, true)
 		cancel()
 		if err == nil && len(list) == 1 {
 			break
@@ -44,3 +48,55 @@
 		t.Errorf("total writes after each start: got: %v want: some, the same, more", writes)
 	}
 }
+
+// TestRegistrationAfterStoreRestored restores the store from a copy without the list of
+// entries: each entry must register again, since those that start with seeds that are down
+// find the others by it.
+func TestRegistrationAfterStoreRestored(t *testing.T) {
+	s := newGatewayEnv(t, time.Millisecond)
+	backup := s.store.Copy()
+	var entries []*testGateway
+	for i := range 3 {
+		entries = append(entries, s.start(fmt.Sprint("e", i), "1s"))
+	}
+	client := platform.NewStore(s.addr)
+	await := func() {
+		t.Helper()
+		for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+			list, err := client.Registered(withDeadline(t), true)
+			if err == nil && len(list) == len(entries) {
+				return
+			}
+			if time.Since(start) > settleTimeout {
+				t.Fatalf("got: %d entries, %v want: %d", len(list), err, len(entries))
+			}
+		}
+	}
+	await()
+	s.store.Restore(backup)
+	if list, err := client.Registered(withDeadline(t), true); err != nil || len(list) != 0 {
+		t.Fatalf("got: %v, %v want: no entry in the copy", names(list), err)
+	}
+	await()
+	for _, e := range entries {
+		e.stop()
+		if err := <-e.done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func names(list []announcer.Member) []string {
+	var out []string
+	for _, m := range list {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// withDeadline returns a context that ends after a second.
+func withDeadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/tracker/acquire.go
+++ b/tracker/acquire.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	if list.Era > firstEra {
+	if list.Era > FirstEra {
 		return t.list(ctx, k, false)
 	}
 	fresh := time.Now()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -322,12 +322,11 @@
 	return err == nil
 }
 
-const (
-	// maxStaleness is the assumed age of a stale list.
-	maxStaleness = 10 * time.Second
-	// firstEra is the era of a store that was never restored.
-	firstEra = 1
-)
+// maxStaleness is the assumed age of a stale list.
+const maxStaleness = 10 * time.Second
+
+// FirstEra is the era of a store that was never restored.
+const FirstEra = 1
 
 // list reads all objects of a kind and applies them. A stale list of a store that was
 // restored may be from before that, with the same revisions: the list is then read again.
@@ -339,7 +338,7 @@
 	if err != nil {
 		return err
 	}
-	if stale && d.Era > firstEra {
+	if stale && d.Era > FirstEra {
 		return t.list(ctx, k, false)
 	}
 	t.logIgnored(d)
