tracker: a list older than the replica counts as a failed read

Cause: a list that the replica ignored counted as a successful read, so the next one followed at once, from every entry.

Change: a current list that is older than the replica was before the call is a failed read, with the back-off of an outage.

--- a/tracker/restore_test.go
+++ b/tracker/restore_test.go
@@ -163,3 +163,33 @@
 		}
 	})
 }
+
+// TestCallsToStoreThatFellBehind has the store return older objects than before without a
+// later era. No entry may use them, and the calls must stay as few as in an outage.
+func TestCallsToStoreThatFellBehind(t *testing.T) {
+	const entries, duration = 24, 8
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(5 * time.Second)
+		defer cancel()
+		c := startFleet(ctx, entries, time.Second)
+		time.Sleep(8 * time.Second)
+		for range 6 {
+			c.store.write()
+		}
+		time.Sleep(propagationBound)
+		c.store.mu.Lock()
+		c.store.revision -= 4
+		c.store.notify()
+		c.store.mu.Unlock()
+		before := c.reads()
+		time.Sleep(duration * time.Second)
+		// A failed watch is counted once, as is the list after it.
+		if got := c.reads() - before; got > 2*entries*duration {
+			t.Errorf("got: %d counted calls in %d s want: at most two per second and entry", got, duration)
+		}
+		if got := c.outdated(7); len(got) > 0 {
+			t.Errorf("got: %d entries without version 7, %v want: none", len(got), got[:min(3, len(got))])
+		}
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -330,10 +330,13 @@
 
 // list reads all objects of a kind and applies them. A stale list of a store that was
 // restored may be from before that, with the same revisions: the list is then read again.
+// A current list that is older than the replica was before counts as a failed read, so that
+// reads back off: the store has fallen behind.
 func (t *Tracker) list(ctx context.Context, k Kind, stale bool) error {
 	limited, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	fresh := time.Now()
+	before := t.state.Position(fresh, k)
 	d, err := t.source.List(limited, k, stale)
 	if err != nil {
 		return err
@@ -344,6 +347,8 @@
 	t.logIgnored(d)
 	if stale {
 		fresh = fresh.Add(-maxStaleness)
+	} else if before.newer(d.Era, d.AsOf) {
+		return errors.Annotatef(ErrUnavailable, "list as of %d of era %d is older than the replica", d.AsOf, d.Era)
 	}
 	return t.apply(fresh, d, "store")
 }
