--- a/placer/limit.go
+++ b/placer/limit.go
@@ -49,11 +49,11 @@
 	// limitTrialDelay is the time without news of a limit after which an entry
 	// sends one request in spite of it, plus up to the same time again at random.
 	limitTrialDelay = 10 * time.Second
-	// limitReportInterval is how often other entries are told of an unchanged
+	// limitRefreshInterval is how often other entries are told of an unchanged
 	// limit, and of a lifted one for liftReportTime. It is well below
 	// limitTrialDelay.
-	limitReportInterval = 2 * time.Second
-	liftReportTime      = 5 * time.Second
+	limitRefreshInterval = 2 * time.Second
+	liftReportTime       = 5 * time.Second
 )
 
 // rate returns the rate of requests per second that this entry may send.
@@ -99,7 +99,7 @@
 	}
 	changed := f.updateLimit(now, u, stated)
 	recent := stated.Limited || !l.changedAt.IsZero() && now.Sub(l.changedAt) < liftReportTime
-	if changed || recent && now.Sub(l.reportedAt) >= limitReportInterval {
+	if changed || recent && now.Sub(l.reportedAt) >= limitRefreshInterval {
 		l.unreported = true
 	}
 	return changed
--- a/runner/limit.go
+++ b/runner/limit.go
@@ -54,7 +54,9 @@
 			byService[r.Service] = append(byService[r.Service], r)
 		}
 		for service, list := range byService {
-			g.sendLimits(ctx, service, list[:min(len(list), maxLimitReports)])
+			for part := range slices.Chunk(list, maxLimitReports) {
+				g.sendLimits(ctx, service, part)
+			}
 		}
 		sleeper.Sleep(ctx, limitReportInterval)
 	}
--- a/runner/limit_test.go
+++ b/runner/limit_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -155,3 +156,45 @@
 		t.Errorf("got: %d requests in %v after the limit was lifted want: at least 10", n, limitWindow)
 	}
 }
+
+// TestRateLimitAcrossManyEntries has upstreams state rate limits for 40 entries
+// together while entries join, are killed, frozen and cut off from each other. All
+// entries that were told must keep to the limits together, and use the upstreams as
+// before once they state none.
+func TestRateLimitAcrossManyEntries(t *testing.T) {
+	for seed, tt := range []struct {
+		rate     float64
+		every    int
+		faulty   bool
+		requests int
+	}{
+		{rate: 1.4, every: 6, requests: 150},
+		{rate: 0.3, every: 6, faulty: true, requests: 150},
+		{rate: 2.2, every: 3, faulty: true, requests: 150},
+		{rate: 12, every: 4, faulty: true, requests: 500},
+		{rate: 5, every: 1, faulty: true, requests: 250},
+	} {
+		t.Run(fmt.Sprintf("rate=%v,every=%d,faulty=%v", tt.rate, tt.every, tt.faulty), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newLimitCluster(t, uint64(seed), 24)
+				defer c.close()
+				for range 40 {
+					c.add()
+				}
+				time.Sleep(4 * time.Second)
+				c.load(2*time.Second, tt.requests)
+				c.setLimits(tt.every, tt.rate, true)
+				for range 12 {
+					if tt.faulty {
+						c.fault()
+					}
+					c.load(2*time.Second, tt.requests)
+				}
+				before := c.checkLimits(tt.every, tt.rate)
+				c.setLimits(tt.every, 0, false)
+				c.load(10*time.Second, tt.requests)
+				c.checkLifted(before)
+			})
+		})
+	}
+}
