KNOWN-RED: a change just after a restart of all entries is late

Cause, by the trace: all entries lost power at 25.4 s. The entry started at 25.94 s, had configuration 83 at 26.04 s, and no update until it queried at 29.10 s, 3.17 s after its start: 1.8 s to settle and 1.35 s until an entry that is no reader queries. The others did not see it yet.

TestChangeJustAfterRestartOfAll fails with the cause, 10 of 10 hidden entries, at each of three moments. Not fixed in this commit: a shorter time to settle costs calls to the store at a start of 312 entries, which has to be measured.

--- a/tracker/cluster_test.go
+++ b/tracker/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -172,6 +173,9 @@
 	// partitioned holds the entries that can't exchange messages with other
 	// entries.
 	partitioned map[string]bool
+	// hidden holds the entries that the others do not see yet, while they see the
+	// others.
+	hidden map[string]bool
 	// separatedUntil is the time until which each entry sees only itself.
 	separatedUntil time.Time
 }
@@ -187,7 +191,13 @@
 	if time.Now().Before(c.separatedUntil) {
 		return []announcer.Member{m}
 	}
-	return c.members()
+	live := c.members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.hidden) == 0 {
+		return live
+	}
+	return slices.DeleteFunc(slices.Clone(live), func(o announcer.Member) bool { return c.hidden[o.Name] && o.Name != m.Name })
 }
 
 // peers implements Peers for one entry.
--- a/tracker/fleet_test.go
+++ b/tracker/fleet_test.go
@@ -246,3 +246,36 @@
 		})
 	}
 }
+
+// TestChangeJustAfterRestartOfAll restarts all entries of the largest deployment and
+// changes the configuration shortly afterwards, while some entries are not seen by the
+// others yet and receive no updates. Every entry must have the change 3 s after its start,
+// when the users count on it.
+func TestChangeJustAfterRestartOfAll(t *testing.T) {
+	for _, offset := range []time.Duration{100, 350, 600} {
+		t.Run(fmt.Sprint(int64(offset)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(5 * time.Second)
+				defer cancel()
+				c := startFleet(ctx, fleetSize, time.Second)
+				time.Sleep(10 * time.Second)
+				c.mu.Lock()
+				c.hidden = make(map[string]bool)
+				for _, m := range c.live[fleetSize-10:] {
+					c.hidden[m.Name] = true
+				}
+				c.mu.Unlock()
+				for i, m := range c.members() {
+					c.start(ctx, m, false, i < seeds)
+				}
+				time.Sleep(offset * time.Millisecond)
+				want := int64(c.store.write())
+				time.Sleep(3*time.Second - offset*time.Millisecond)
+				if got := c.outdated(want); len(got) > 0 {
+					t.Errorf("got: %d entries without version %d 3 s after their start, %v want: none", len(got), want, got[:min(3, len(got))])
+				}
+			})
+		})
+	}
+}
