runner: tests listen at ports that the system does not choose

Cause: freeAddr let the system choose a port and released it; until the gateway listened there, the system gave it to another socket of the test. Ports now come from below that range, a different one each time. No check is changed.

--- a/runner/gateway_test.go
+++ b/runner/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,11 +56,26 @@
 	return s
 }
 
-// freeAddr returns an address without a listener.
+// firstPort is below the range from which the system takes ports of its own choice, such
+// as those of outgoing connections.
+const firstPort = 20000
+
+// lastPort is the last port that freeAddr returned, relative to firstPort.
+var lastPort atomic.Int32
+
+// freeAddr returns an address without a listener, a different one each time. A port that
+// the system chose could be in use again before it is listened at.
 func freeAddr(t *testing.T) string {
-	l := listen(t)
-	defer l.Close()
-	return l.Addr().String()
+	t.Helper()
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", testHost, firstPort+lastPort.Add(1)%10000))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("got: no free port want: one")
+	return ""
 }
 
 // testGateway is a running gateway.
