pipeliner: tests record a response before the server goes on

Cause: the test's caller recorded a response after it had read it from the pipe. The server's Write returns once the bytes are read, so the start of the next call and the record of the response were in a race.

Change: the server's end of the pipe records a response within the Write that completes it, when the caller has received all of it. The check is stricter: a call that starts before its turn is recorded before the response in every schedule, and a response behind one that closes the connection is recorded as such.

--- a/pipeliner/handler_test.go
+++ b/pipeliner/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -107,47 +108,75 @@
 	})
 }
 
-// connect serves a new connection and receives the responses to its caller until wait
-// returns.
+// connect serves a new connection. Until wait returns it logs the responses and the
+// end of the connection, if no response announced it.
 func (h *testHandler) connect(s *Server) (caller net.Conn, wait *sync.WaitGroup) {
 	caller, entry := net.Pipe()
 	wait = &sync.WaitGroup{}
-	wait.Go(func() { s.ServeConn(entry) })
-	wait.Go(func() { h.receive(caller) })
-	return caller, wait
-}
-
-// receive logs the responses on a connection until it ends.
-func (h *testHandler) receive(c net.Conn) {
-	r := bufio.NewReader(c)
-	for {
-		var resp fasthttp.Response
-		err := resp.Header.Read(r)
-		if err == nil && resp.StatusCode() != fasthttp.StatusContinue {
-			err = resp.ReadBody(r, 0)
-		}
+	recorded := &recordingConn{Conn: entry, handler: h}
+	wait.Go(func() { s.ServeConn(recorded) })
+	wait.Go(func() {
+		_, err := io.Copy(io.Discard, caller)
 		h.mu.Lock()
-		if err == io.EOF {
+		defer h.mu.Unlock()
+		if err == nil && !recorded.closed {
 			h.log("closed")
 		}
-		if err != nil {
-			h.mu.Unlock()
-			return
-		}
-		id, end := "-", ""
-		if resp.StatusCode() == fasthttp.StatusOK {
-			id = string(resp.Body())
-		}
-		if resp.ConnectionClose() {
-			end = " close"
-		}
-		h.log("answer %d %s%s", resp.StatusCode(), id, end)
-		h.mu.Unlock()
-		if resp.ConnectionClose() {
-			_, _ = io.Copy(io.Discard, r)
-			return
-		}
+	})
+	return caller, wait
+}
+
+// recordingConn is the server's end of a pipe. It logs each response before the
+// Write that completes it returns, when the caller has received all of it. What
+// the server does afterwards is therefore logged later.
+type recordingConn struct {
+	net.Conn
+	handler *testHandler
+	// partial holds what was written of a response that is not complete.
+	partial []byte
+	// closed is set after a response that closes the connection. The handler's
+	// lock guards it.
+	closed bool
+}
+
+// Write implements io.Writer.
+func (c *recordingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.partial = append(c.partial, p[:n]...)
+	for c.record() {
+	}
+	return n, err
+}
+
+// record logs and removes the first written response. It returns false if there
+// is no complete one.
+func (c *recordingConn) record() bool {
+	text := bytes.NewReader(c.partial)
+	r := bufio.NewReader(text)
+	var resp fasthttp.Response
+	err := resp.Header.Read(r)
+	if err == nil && resp.StatusCode() != fasthttp.StatusContinue {
+		err = resp.ReadBody(r, 0)
+	}
+	if err != nil {
+		return false
+	}
+	c.partial = c.partial[len(c.partial)-text.Len()-r.Buffered():]
+	id, end := "-", ""
+	if resp.StatusCode() == fasthttp.StatusOK {
+		id = string(resp.Body())
+	}
+	if resp.ConnectionClose() {
+		end = " close"
+	}
+	c.handler.mu.Lock()
+	defer c.handler.mu.Unlock()
+	if c.closed {
+		end += " behind a response that closes the connection"
 	}
+	c.closed = c.closed || resp.ConnectionClose()
+	c.handler.log("answer %d %s%s", resp.StatusCode(), id, end)
+	return true
 }
 
 // request returns a request for the fields KIND WORK ID [close].
