tracker: an entry that receives no updates queries others before the membership settles

Cause, traced then: the age of a replica counted from 1.8 s after the start, when the membership has settled, both for a read of the store and for a query to other entries. An entry that the others did not see yet received no updates and queried at 3.15 s; it has to have the configuration at 3 s. Ruled out: a shorter time to settle. It guards the store, and queries cost the store nothing.

Change: a query follows the age of the replica itself, a read of the store still waits for the membership. At the first start of the whole deployment, when there are no callers, both wait as before.

--- a/tracker/fleet_test.go
+++ b/tracker/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -252,30 +253,48 @@
 // others yet and receive no updates. Every entry must have the change 3 s after its start,
 // when the users count on it.
 func TestChangeJustAfterRestartOfAll(t *testing.T) {
-	for _, offset := range []time.Duration{100, 350, 600} {
-		t.Run(fmt.Sprint(int64(offset)), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(5 * time.Second)
-				defer cancel()
-				c := startFleet(ctx, fleetSize, time.Second)
-				time.Sleep(10 * time.Second)
-				c.mu.Lock()
-				c.hidden = make(map[string]bool)
-				for _, m := range c.live[fleetSize-10:] {
-					c.hidden[m.Name] = true
-				}
-				c.mu.Unlock()
-				for i, m := range c.members() {
-					c.start(ctx, m, false, i < seeds)
-				}
-				time.Sleep(offset * time.Millisecond)
-				want := int64(c.store.write())
-				time.Sleep(3*time.Second - offset*time.Millisecond)
-				if got := c.outdated(want); len(got) > 0 {
-					t.Errorf("got: %d entries without version %d 3 s after their start, %v want: none", len(got), want, got[:min(3, len(got))])
-				}
+	hidden := map[string]func(c *cluster) []announcer.Member{
+		"last":  func(c *cluster) []announcer.Member { return c.live[fleetSize-10:] },
+		"third": func(c *cluster) []announcer.Member { return c.live[:fleetSize/3] },
+		"heads": (*cluster).heads,
+		"readers": func(c *cluster) []announcer.Member {
+			return slices.DeleteFunc(slices.Clone(c.live), func(m announcer.Member) bool {
+				r := RoleOf(m.Name, c.live).Rank
+				return r == 0 || r >= readersPerDomain
 			})
-		})
+		},
+	}
+	for _, name := range slices.Sorted(maps.Keys(hidden)) {
+		for _, offset := range []time.Duration{100, 350, 600, 1000} {
+			t.Run(fmt.Sprint(name, " ", int64(offset)), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer time.Sleep(5 * time.Second)
+					defer cancel()
+					c := startFleet(ctx, fleetSize, time.Second)
+					time.Sleep(10 * time.Second)
+					before := c.reads()
+					names := make(map[string]bool)
+					for _, m := range hidden[name](c) {
+						names[m.Name] = true
+					}
+					c.mu.Lock()
+					c.hidden = names
+					c.mu.Unlock()
+					for i, m := range c.members() {
+						c.start(ctx, m, false, i < seeds)
+					}
+					time.Sleep(offset * time.Millisecond)
+					want := int64(c.store.write())
+					time.Sleep(3*time.Second - offset*time.Millisecond)
+					if got := c.outdated(want); len(got) > 0 {
+						t.Errorf("got: %d entries without version %d 3 s after their start, %v want: none", len(got), want, got[:min(3, len(got))])
+					}
+					if got, limit := c.reads()-before, 3*fleetSize+60; got > limit {
+						t.Errorf("got: %d counted reads want: at most %d", got, limit)
+					}
+				})
+			})
+		}
 	}
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -143,15 +143,20 @@
 		now := time.Now()
 		position, role := t.state.Position(now, k), t.role(now)
 		settled := now.Sub(t.start) - t.settle
-		age := min(position.Age, settled)
+		limit, readable := readAge(role), min(position.Age, settled)
+		queryable := position.Age
+		if t.initial {
+			// There are no callers yet, and a first replica from a stale list is old.
+			queryable = readable
+		}
 		switch {
 		case position.AsOf == 0:
 			t.acquire(ctx, k)
 		case settled > 0 && role.Watch:
 			t.read(ctx, k, role, position, alignedWait(now))
-		case age <= readAge(role):
-			sleeper.Sleep(ctx, min(checkInterval, readAge(role)-age+time.Millisecond))
-		case role.Rank < readersPerDomain && t.mayRead(now):
+		case queryable <= limit:
+			sleeper.Sleep(ctx, min(checkInterval, limit-queryable+time.Millisecond))
+		case readable > limit && role.Rank < readersPerDomain && t.mayRead(now):
 			t.read(ctx, k, role, position, time.Millisecond)
 		default:
 			replied := t.queryPeers(ctx, k, role)
@@ -162,7 +167,7 @@
 			}
 			switch {
 			case fresh:
-			case t.mayRead(now) && (replied == 0 || paced):
+			case readable > limit && t.mayRead(now) && (replied == 0 || paced):
 				t.read(ctx, k, role, position, time.Millisecond)
 			default:
 				sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
@@ -173,7 +178,8 @@
 }
 
 // readAge returns the age of the replica at which an entry reads the store or, if
-// it is not a reader, queries other entries.
+// it is not a reader, queries other entries. Until the membership has settled a
+// reader queries others, too: they may have updates that were not sent to it.
 func readAge(r Role) time.Duration {
 	return staleAge + time.Duration(min(r.Rank, readersPerDomain))*rankDelay
 }
@@ -202,9 +208,9 @@
 const (
 	// settleTime is how long an entry that has just started waits for the
 	// membership before it may watch the store, since all entries may have
-	// started at the same time. Entries that receive no updates read the store
-	// staleAge later: an entry must have the newest configuration 3 s after its
-	// start.
+	// started at the same time. An entry must have the newest configuration 3 s
+	// after its start, and one that receives no updates reads the store too late
+	// for that: it queries others before.
 	settleTime = 1800 * time.Millisecond
 	// initialSettleTime replaces settleTime at the first start of the whole
 	// deployment, when there are no callers yet. With 100 entries it takes 3 s
