claimer: claims are written again when the store is restored

What callers of the product's own interface would have seen: after the store had come back from a copy, a call with a key that was repeated at another entry ran a second time.

Cause: the claim of a call, and its outcome, are known to the store alone, and a copy lacks the last ones. Class of fault: a store's acknowledgement taken for lasting across its incarnations.

Change: entries retain their claims for 20 s, and write those again that the store lacks in a new era, which a watch or a write tells. No entry uses a claim for 2 s after it has seen a new era: it writes the claim once more then, and finds whether it was replaced. A call with less time left is rejected at once. A watch names the era that it continues from, and returns at once in another; Put returns the era with the version.

Weighed: asking all other entries at each call; rejecting all calls with keys until operators permit them. Not covered: claims of entries that are gone, or cut off for 2 s.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,14 +27,18 @@
 // Store is the subset of the platform's store that the claimer uses.
 type Store interface {
 	Get(ctx context.Context, path string) (storer.Object, error)
-	Put(ctx context.Context, path string, data []byte, expect uint64) (uint64, error)
+	Put(ctx context.Context, path string, data []byte, expect uint64) (storer.Revision, error)
+	// Era returns the latest era of the store that is known.
+	Era() uint64
 }
 
 // Claim is the exclusive right to send one call.
 type Claim struct {
-	path    string
-	record  record
-	version uint64
+	path   string
+	record record
+	// revision is that of the stored record which the next write replaces, zero if
+	// there is none.
+	revision storer.Revision
 }
 
 const (
@@ -44,7 +49,8 @@
 )
 
 // Claimer acquires claims and records their outcomes. Run must be running for
-// outcomes to be written.
+// outcomes to be written, and Restore for claims to survive a store that comes back
+// from a copy.
 type Claimer struct {
 	store Store
 	entry string
@@ -56,6 +62,16 @@
 	replayed  atomic.Int64
 	rejected  atomic.Int64
 	dropped   atomic.Int64
+
+	mu sync.Mutex
+	// era is the latest era of the store that is known. Until reclaimUntil no claim is
+	// granted.
+	era          uint64
+	reclaimUntil time.Time
+	// retained holds the claims to write again in a new era, by path, and order their
+	// paths, the first to be dropped first.
+	retained map[string]*retainedClaim
+	order    []retention
 }
 
 // New returns a claimer for the named entry.
@@ -82,11 +98,21 @@
 	}
 	delay, mayBeWritten := initialDelay, false
 	for {
-		v, err := c.store.Put(ctx, cl.path, cl.record.encode(), cl.version)
+		v, err := c.store.Put(ctx, cl.path, cl.record.encode(), cl.revision.Version)
 		if err == nil {
-			cl.version = v
-			c.granted.Add(1)
-			return cl, nil, nil
+			cl.revision, mayBeWritten = v, true
+			c.observeEra(v.Era)
+			wait := c.reclaimWait()
+			if wait <= 0 {
+				return c.grant(cl), nil, nil
+			}
+			if !sleepWithin(ctx, wait) {
+				c.rejected.Add(1)
+				c.enqueue(*cl, Void, nil)
+				return nil, nil, errors.Trace(ErrNoClaim)
+			}
+			// Written again, unless the record has been replaced meanwhile.
+			continue
 		}
 		mayBeWritten = mayBeWritten || errors.Is(err, storer.ErrUnavailable)
 		o, err := c.inspect(ctx, cl)
@@ -95,8 +121,11 @@
 			c.replayed.Add(1)
 			return nil, o.Outcome, nil
 		case err == nil && o.State == Claimed && o.Attempt == cl.record.Attempt:
-			c.granted.Add(1)
-			return cl, nil, nil
+			c.observeEra(cl.revision.Era)
+			if c.reclaimWait() <= 0 {
+				return c.grant(cl), nil, nil
+			}
+			continue
 		case errors.Is(err, ErrMismatch), errors.Is(err, ErrMayHaveRun):
 			c.rejected.Add(1)
 			return nil, nil, err
@@ -124,12 +153,29 @@
 	}
 }
 
+// grant counts and retains a claim that this attempt holds.
+func (c *Claimer) grant(cl *Claim) *Claim {
+	c.granted.Add(1)
+	c.retain(*cl, cl.revision.Era)
+	return cl
+}
+
+// sleepWithin sleeps if ctx does not end before. It reports whether it did.
+func sleepWithin(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d {
+		return false
+	}
+	sleeper.Sleep(ctx, d)
+	return ctx.Err() == nil
+}
+
 // inspect reads the record at the claim's path. The claim may be acquired if
 // there is no record or a void one. If the record is void, or is the claim of
-// this attempt, inspect sets the version that the next write expects.
+// this attempt, inspect sets the revision that the next write expects.
 func (c *Claimer) inspect(ctx context.Context, cl *Claim) (record, error) {
 	o, err := c.store.Get(ctx, cl.path)
 	if errors.Is(err, storer.ErrNotFound) {
+		c.resetLost(cl)
 		return record{State: Void}, nil
 	}
 	if err != nil {
@@ -140,12 +186,13 @@
 		return r, errors.WithType(err, ErrMayHaveRun)
 	}
 	if r.Attempt == cl.record.Attempt && r.State == Claimed {
-		cl.version = o.Version
+		cl.revision = o.Revision()
 		return r, nil
 	}
 	switch {
+	case r.State == Void && o.Revision().Compare(cl.revision) > 0:
+		cl.revision = o.Revision()
 	case r.State == Void:
-		cl.version = max(cl.version, o.Version)
 	case r.Fingerprint != cl.record.Fingerprint:
 		return r, errors.Trace(ErrMismatch)
 	case r.State == Lost:
@@ -172,6 +219,7 @@
 // oldest record is dropped.
 func (c *Claimer) enqueue(cl Claim, s State, o *Outcome) {
 	cl.record.State, cl.record.Outcome = s, o
+	c.retainFinal(cl)
 	c.unwritten.Add(1)
 	if c.pending.Push(cl) {
 		c.unwritten.Add(-1)
@@ -196,20 +244,24 @@
 func (c *Claimer) write(ctx context.Context, cl Claim) {
 	delay := initialDelay
 	for range maxWriteAttempts {
-		_, err := c.store.Put(ctx, cl.path, cl.record.encode(), cl.version)
+		v, err := c.store.Put(ctx, cl.path, cl.record.encode(), cl.revision.Version)
 		if err == nil {
+			c.confirm(&cl, v.Era)
 			return
 		}
 		o, err := c.store.Get(ctx, cl.path)
-		if err == nil {
+		switch {
+		case err == nil:
 			r, err := decode(o.Data)
 			own := err == nil && r.Attempt == cl.record.Attempt
-			if !own && o.Version >= cl.version || own && r.State == cl.record.State {
+			if !own && o.Revision().Compare(cl.revision) >= 0 || own && r.State == cl.record.State {
 				return
 			}
 			if own && r.State == Claimed {
-				cl.version = o.Version
+				cl.revision = o.Revision()
 			}
+		case errors.Is(err, storer.ErrNotFound):
+			c.resetLost(&cl)
 		}
 		if sleeper.Sleep(ctx, delay); ctx.Err() != nil {
 			break
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -169,7 +169,7 @@
 	case path == "/v1/list":
 		p.list(ctx, arg("prefix"))
 	case path == "/v1/watch":
-		p.watch(ctx, arg("prefix"), arg("after"), arg("wait"))
+		p.watch(ctx, arg("prefix"), arg("after"), arg("era"), arg("wait"))
 	case path == "/v1/instances":
 		p.listInstances(ctx, arg("known"))
 	default:
@@ -279,21 +279,25 @@
 	writeJSON(ctx, out)
 }
 
-func (p *Platform) watch(ctx *fasthttp.RequestCtx, prefix, after, wait string) {
+func (p *Platform) watch(ctx *fasthttp.RequestCtx, prefix, after, era, wait string) {
 	from, _ := strconv.ParseUint(after, 10, 64)
+	known, _ := strconv.ParseUint(era, 10, 64)
 	d, _ := time.ParseDuration(wait)
 	end := time.NewTimer(d)
 	defer end.Stop()
 	for {
 		p.mu.Lock()
 		b := p.changesSince(prefix, from)
-		lost := from > p.lastVersion
+		restored := p.era != known
+		if restored {
+			b.Changes = nil
+		}
 		if p.changed == nil {
 			p.changed = make(chan struct{})
 		}
 		changed, closed := p.changed, p.closed
 		p.mu.Unlock()
-		if len(b.Changes) > 0 || lost {
+		if len(b.Changes) > 0 || restored {
 			writeJSON(ctx, b)
 			return
 		}
--- a/relayer/testbed_test.go
+++ b/relayer/testbed_test.go
@@ -254,13 +254,13 @@
 }
 
 // Put implements claimer.Store.
-func (b *testbed) Put(ctx context.Context, path string, data []byte, expect uint64) (uint64, error) {
+func (b *testbed) Put(ctx context.Context, path string, data []byte, expect uint64) (storer.Revision, error) {
 	switch b.nextStoreFault(ctx) {
 	case storeDown:
-		return 0, storer.ErrUnavailable
+		return storer.Revision{}, storer.ErrUnavailable
 	case storeResponseLost:
 		_, _ = b.apply(path, data, expect)
-		return 0, storer.ErrUnavailable
+		return storer.Revision{}, storer.ErrUnavailable
 	case storeEntryPaused:
 		v, err := b.apply(path, data, expect)
 		time.Sleep(pause)
@@ -268,12 +268,15 @@
 	case storeDelayedWrite:
 		data = slices.Clone(data)
 		time.AfterFunc(300*time.Millisecond, func() { _, _ = b.apply(path, data, expect) })
-		return 0, storer.ErrUnavailable
+		return storer.Revision{}, storer.ErrUnavailable
 	}
 	return b.apply(path, data, expect)
 }
 
-func (b *testbed) apply(path string, data []byte, expect uint64) (uint64, error) {
+// Era implements claimer.Store.
+func (b *testbed) Era() uint64 { return 0 }
+
+func (b *testbed) apply(path string, data []byte, expect uint64) (storer.Revision, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var current uint64
@@ -281,11 +284,11 @@
 		current = v[len(v)-1].Version
 	}
 	if current != expect {
-		return 0, storer.ErrConflict
+		return storer.Revision{}, storer.ErrConflict
 	}
 	b.version++
 	b.objects[path] = append(b.objects[path], storer.Object{Path: path, Version: b.version, Data: slices.Clone(data)})
-	return b.version, nil
+	return storer.Revision{Version: b.version}, nil
 }
 
 const testSettings = `{"slots": 2, "shed": true, "deadline": "1s", "hedge": 0.2, "retry": 0.5}`
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -108,7 +108,7 @@
 	servers := r.serve(g)
 	tasks := []func(context.Context) error{
 		r.follower.Watch, r.follower.Resync, r.configure, r.serverSync.Poll, r.serverSync.Run,
-		r.announcer.Run, r.prober.Run, r.describe, r.claimer.Run, r.claimer.Run, r.trim,
+		r.announcer.Run, r.prober.Run, r.describe, r.claimer.Run, r.claimer.Run, r.claimer.Restore, r.trim,
 	}
 	for _, f := range tasks {
 		g.Go(func() error { return f(taskCtx) })
--- a/runner/settings_restore_test.go
+++ b/runner/settings_restore_test.go
@@ -2,7 +2,14 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/faker"
+	"poplarwind/relayer"
 )
 
 // slotsInForce returns the slots of a service according to the settings in force at
@@ -64,3 +71,60 @@
 		})
 	}
 }
+
+// sendKeyed sends a call with an idempotency key to an entry and returns its status and
+// whether the entry states that it ran.
+func sendKeyed(t *testing.T, entry, id string) (status int, ran string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + entry + "/t/s/orders")
+	req.Header.Set("Request-Id", id)
+	req.Header.Set(relayer.HeaderKey, id)
+	req.Header.Set(relayer.HeaderDeadline, "5s")
+	if err := fasthttp.DoTimeout(req, resp, 6*time.Second); err != nil {
+		t.Errorf("%s: %v", id, err)
+	}
+	return resp.StatusCode(), string(resp.Header.Peek(relayer.HeaderRan))
+}
+
+// TestCallsRunOnceAfterStoreRestored restores the store from a copy that lacks the claims
+// and the outcomes of calls, which callers then repeat at another entry. Each must run
+// once, and the outcome be known at the other entry.
+func TestCallsRunOnceAfterStoreRestored(t *testing.T) {
+	b := newTestbed(t)
+	b.applySettings("/t/s", ordersSettings)
+	server := &faker.Server{Slots: 3, Work: 3 * time.Millisecond}
+	b.startServer("s0", "/t/s", server)
+	var entries []*localEntry
+	for i := range 4 {
+		entries = append(entries, b.startEntry(fmt.Sprintf("e%d", i), string(rune('a'+i%3))))
+	}
+	defer b.stopEntries()
+	for _, e := range entries {
+		b.awaitReady(e.Ops)
+	}
+	const calls = 20
+	for i := range calls {
+		if status, _ := sendKeyed(t, entries[i%4].Callers, fmt.Sprint("k", i)); status != fasthttp.StatusOK {
+			t.Fatalf("call %d: got: %d want: 200", i, status)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	b.platform.Restore(2*calls - 5)
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			if status, ran := sendKeyed(t, entries[(i+1)%4].Callers, fmt.Sprint("k", i)); status != fasthttp.StatusOK {
+				t.Errorf("call %d again: got: %d, ran %q want: the recorded response", i, status, ran)
+			}
+		})
+	}
+	wg.Wait()
+	for i := range calls {
+		if got := server.Runs(fmt.Sprint("k", i)); got != 1 {
+			t.Errorf("call %d: got: %d runs want: 1", i, got)
+		}
+	}
+}
--- a/storer/change.go
+++ b/storer/change.go
@@ -58,18 +58,18 @@
 	for {
 		v, err := s.Put(ctx, Prefix+path, data, expect)
 		if err == nil {
-			return v, nil
+			return v.Version, nil
 		}
 		uncertain := errors.Is(err, ErrUnavailable)
 		if !uncertain && !errors.Is(err, ErrConflict) {
 			return 0, err
 		}
-		v, decided, findErr := findChange(ctx, s, path, e.ID, expect)
+		found, decided, findErr := findChange(ctx, s, path, e.ID, expect)
 		switch {
 		case findErr == nil && decided:
-			return v, nil
+			return found, nil
 		case errors.Is(findErr, ErrSuperseded), errors.Is(findErr, ErrConflict):
-			return v, findErr
+			return found, findErr
 		}
 		if ctx.Err() != nil {
 			return 0, errors.Annotate(ErrUnavailable, "the change may have taken effect")
--- a/storer/client.go
+++ b/storer/client.go
@@ -24,6 +24,8 @@
 	http    fasthttp.Client
 	// calls, writes and bytes are the counters that Usage returns.
 	calls, writes, bytes atomic.Int64
+	// era is the latest era of the store that a response has named.
+	era atomic.Uint64
 }
 
 // NewClient returns a client of the platform at addr, an IP address and a port.
@@ -55,6 +57,18 @@
 	return Usage{Calls: c.calls.Load(), Writes: c.writes.Load(), Bytes: c.bytes.Load()}
 }
 
+// Era returns the latest era of the store that a response has named.
+func (c *Client) Era() uint64 { return c.era.Load() }
+
+func (c *Client) observeEra(era uint64) {
+	for {
+		known := c.era.Load()
+		if era <= known || c.era.CompareAndSwap(known, era) {
+			return
+		}
+	}
+}
+
 // Get implements Reader.
 func (c *Client) Get(ctx context.Context, path string) (Object, error) {
 	return c.GetVersion(ctx, path, 0)
@@ -86,26 +100,29 @@
 }
 
 // Watch implements Reader.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Batch, error) {
 	q := url.Values{
 		"prefix": {prefix},
-		"after":  {strconv.FormatUint(after, 10)},
+		"after":  {strconv.FormatUint(after.Version, 10)},
+		"era":    {strconv.FormatUint(after.Era, 10)},
 		"wait":   {wait.String()},
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
 	var b Batch
 	err := c.call(ctx, "GET", "/v1/watch", q, nil, &b)
+	c.observeEra(b.Era)
 	return b, err
 }
 
 // Put implements Writer.
-func (c *Client) Put(ctx context.Context, path string, data []byte, expect uint64) (uint64, error) {
+func (c *Client) Put(ctx context.Context, path string, data []byte, expect uint64) (Revision, error) {
 	c.writes.Add(1)
 	q := url.Values{"path": {path}, "expect": {strconv.FormatUint(expect, 10)}}
 	var ref VersionRef
 	err := c.call(ctx, "PUT", "/v1/object", q, data, &ref)
-	return ref.Version, err
+	c.observeEra(ref.Era)
+	return ref.Revision(), err
 }
 
 // Instances implements Lister.
--- a/storer/store.go
+++ b/storer/store.go
@@ -65,8 +65,7 @@
 type Batch struct {
 	// After is the version to pass to the next watch.
 	After uint64 `json:"after"`
-	// Era is the current era of the store. Versions of earlier ones can't be watched
-	// from.
+	// Era is the current era of the store.
 	Era uint64 `json:"era,omitempty"`
 	// Changes are sorted by version.
 	Changes []VersionRef `json:"changes"`
@@ -99,16 +98,17 @@
 	Versions(ctx context.Context, path string) ([]VersionRef, error)
 	// List returns the newest version of each object under prefix.
 	List(ctx context.Context, prefix string) ([]VersionRef, error)
-	// Watch waits for a write under prefix with a version above after, for at
-	// most wait. It returns at once if the store does not have the version after.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error)
+	// Watch waits for a write under prefix with a version above that of after, for
+	// at most wait. It returns at once, without changes, if after belongs to another
+	// era than the current one of the store.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Batch, error)
 }
 
 // Writer writes objects.
 type Writer interface {
 	// Put writes data if the object is at version expect, or absent if expect
-	// is 0. It returns the new version, or ErrConflict or ErrUnavailable.
-	Put(ctx context.Context, path string, data []byte, expect uint64) (uint64, error)
+	// is 0. It returns the new revision, or ErrConflict or ErrUnavailable.
+	Put(ctx context.Context, path string, data []byte, expect uint64) (Revision, error)
 }
 
 // Store reads and writes objects.
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -61,7 +61,7 @@
 // restarts from the last version processed; changes that it misses are found
 // by Resync. In a new era of the store it restarts from the first version.
 func (f *Follower) Watch(ctx context.Context) error {
-	var after, era uint64
+	var after storer.Revision
 	for ctx.Err() == nil {
 		b, err := f.store.Watch(ctx, storer.Prefix, after, watchTimeout)
 		if err != nil {
@@ -69,9 +69,9 @@
 			continue
 		}
 		f.lastRead.Store(time.Now().UnixNano())
-		if b.Era > era {
-			f.log.Warn("store era changed", "era", b.Era, "was", era, "after", after)
-			after, era = 0, b.Era
+		if b.Era > after.Era {
+			f.log.Warn("store era changed", "era", b.Era, "was", after.Era, "after", after.Version)
+			after = storer.Revision{Era: b.Era}
 			continue
 		}
 		failed := false
@@ -84,7 +84,7 @@
 			sleeper.Sleep(ctx, retryDelay)
 			continue
 		}
-		after = max(after, b.After)
+		after.Version = max(after.Version, b.After)
 	}
 	return nil
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -180,7 +180,7 @@
 	return v[:min(1, len(v))], err
 }
 
-func (s *faultyStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (storer.Batch, error) {
+func (s *faultyStore) Watch(ctx context.Context, _ string, after storer.Revision, wait time.Duration) (storer.Batch, error) {
 	end := time.Now().Add(wait)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		o, err := s.read()
@@ -188,19 +188,19 @@
 			return storer.Batch{}, err
 		}
 		s.mu.Lock()
-		watchesEmpty, era, lost := s.watchesEmpty, s.era, after > uint64(len(s.objects))
+		watchesEmpty, era := s.watchesEmpty, s.era
 		s.mu.Unlock()
-		if n := len(o); n > 0 && o[n-1].Version > after && !watchesEmpty {
+		if n := len(o); n > 0 && o[n-1].Version > after.Version && era == after.Era && !watchesEmpty {
 			return storer.Batch{After: o[n-1].Version, Era: era, Changes: []storer.VersionRef{{Path: testPath, Version: o[n-1].Version, Era: o[n-1].Era}}}, nil
 		}
 		time.Sleep(20 * time.Millisecond)
-		if lost {
-			return storer.Batch{After: after, Era: era}, nil
+		if era != after.Era {
+			return storer.Batch{After: after.Version, Era: era}, nil
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return storer.Batch{After: after, Era: s.era}, nil
+	return storer.Batch{After: after.Version, Era: s.era}, nil
 }
 
 // TestFollowerConverges writes valid and invalid versions to a store with
