--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -143,12 +143,8 @@
 		now := time.Now()
 		position, role := t.state.Position(now, k), t.role(now)
 		settled := now.Sub(t.start) - t.settle
-		limit, readable := readAge(role), min(position.Age, settled)
-		queryable := position.Age
-		if t.initial {
-			// There are no callers yet, and a first replica from a stale list is old.
-			queryable = readable
-		}
+		limit := readAge(role)
+		readable, queryable := t.ages(position, settled)
 		switch {
 		case position.AsOf == 0:
 			t.acquire(ctx, k)
@@ -159,27 +155,49 @@
 		case readable > limit && role.Rank < readersPerDomain && t.mayRead(now):
 			t.read(ctx, k, role, position, time.Millisecond)
 		default:
-			replied := t.queryPeers(ctx, k, role)
-			fresh := t.state.Position(time.Now(), k).Age <= staleAge
-			paced := !now.Before(nextPaced)
-			if paced {
-				nextPaced = now.Add(rand.N(2*readPacePerEntry*time.Duration(max(role.Size, 1))) + readBackoff)
-			}
-			switch {
-			case fresh:
-			case readable > limit && t.mayRead(now) && (replied == 0 || paced):
-				t.read(ctx, k, role, position, time.Millisecond)
-			default:
-				sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
-			}
+			nextPaced = t.queryOrRead(ctx, k, role, position, readable > limit, nextPaced)
 		}
 	}
 	return nil
 }
 
+// ages returns the age of the replica that counts for reads of the store and that for
+// queries to other entries. An entry must have the newest configuration 3 s after its
+// start, too soon to wait until the membership has settled, for which reads wait: an
+// entry that others do not see yet receives no updates, and queries them. At the first
+// start of the whole deployment there are no callers, and a first replica from a stale
+// list is old, so both wait.
+func (t *Tracker) ages(p Position, settled time.Duration) (readable, queryable time.Duration) {
+	readable = min(p.Age, settled)
+	if t.initial {
+		return readable, readable
+	}
+	return readable, p.Age
+}
+
+// queryOrRead queries other entries. If none replied, or if it is nextPaced although
+// their replicas are old too, it then reads the store, provided that mayRead is set. It
+// returns the time of the next paced read.
+func (t *Tracker) queryOrRead(ctx context.Context, k Kind, role Role, position Position, mayRead bool, nextPaced time.Time) time.Time {
+	now := time.Now()
+	replied := t.queryPeers(ctx, k, role)
+	fresh := t.state.Position(time.Now(), k).Age <= staleAge
+	paced := !now.Before(nextPaced)
+	if paced {
+		nextPaced = now.Add(rand.N(2*readPacePerEntry*time.Duration(max(role.Size, 1))) + readBackoff)
+	}
+	switch {
+	case fresh:
+	case mayRead && t.mayRead(now) && (replied == 0 || paced):
+		t.read(ctx, k, role, position, time.Millisecond)
+	default:
+		sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
+	}
+	return nextPaced
+}
+
 // readAge returns the age of the replica at which an entry reads the store or, if
-// it is not a reader, queries other entries. Until the membership has settled a
-// reader queries others, too: they may have updates that were not sent to it.
+// it is not a reader, queries other entries.
 func readAge(r Role) time.Duration {
 	return staleAge + time.Duration(min(r.Rank, readersPerDomain))*rankDelay
 }
@@ -208,9 +226,8 @@
 const (
 	// settleTime is how long an entry that has just started waits for the
 	// membership before it may watch the store, since all entries may have
-	// started at the same time. An entry must have the newest configuration 3 s
-	// after its start, and one that receives no updates reads the store too late
-	// for that: it queries others before.
+	// started at the same time. Entries that receive no updates read the store
+	// staleAge later.
 	settleTime = 1800 * time.Millisecond
 	// initialSettleTime replaces settleTime at the first start of the whole
 	// deployment, when there are no callers yet. With 100 entries it takes 3 s
