pooler: the bytes read for one response are bounded

What callers and operators would have seen: an upstream in trouble that sends an endless chunk extension kept an entry's processor busy until the request's deadline, or for 10 s.

Cause: the library bounds heads, bodies and trailers, but skips a chunk extension byte by byte whatever its length.

Change: a connection reads at most six bytes for each byte of the largest body, which is what chunks of one byte take, and 256 KB for heads and the trailer. Then the response is taken for broken, as any that does not end. Not changed: callers' requests, which are bounded by 10 s alone there.

--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -24,12 +24,24 @@
 // maxInterim bounds the interim (1xx) responses read before the final one.
 const maxInterim = 8
 
+const (
+	// maxFramingRatio is the number of bytes in which a byte of a body is sent in
+	// chunks of one byte.
+	maxFramingRatio = 6
+	// maxOverhead bounds the bytes of the heads and the trailer of a response.
+	maxOverhead = 256 << 10
+)
+
 // Conn is a connection to a server. It is used by one exchange at a time;
 // only Abort may be called concurrently.
 type Conn struct {
 	net   net.Conn
 	read  *bufio.Reader
 	write *bufio.Writer
+	// readable is the number of bytes that may still be read for the response that
+	// is being received, valid if receiving is set.
+	readable  int
+	receiving bool
 	// written counts the bytes that the kernel accepted in this exchange.
 	written atomic.Int64
 	// idleSince is when the connection was returned to its pool, and maxIdle how
@@ -39,6 +51,17 @@
 	addr      string
 }
 
+// Read implements io.Reader for the read buffer. It returns ErrTooLarge when a response
+// does not end.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.receiving && c.readable <= 0 {
+		return 0, errors.Trace(ErrTooLarge)
+	}
+	n, err := c.net.Read(p)
+	c.readable -= n
+	return n, err
+}
+
 // Write implements io.Writer for the write buffer and counts the bytes written.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.net.Write(p)
@@ -76,10 +99,10 @@
 	return !errors.As(err, &netErr) || !netErr.Timeout()
 }
 
-// Receive reads a complete response with a body of at most maxBody bytes. head
-// indicates that the request method was HEAD, whose response has no body. Receive
-// returns ErrTruncated if the end of the response cannot be distinguished from
-// a truncation.
+// Receive reads a complete response with a body of at most maxBody bytes, 0 meaning
+// that it is not limited. head indicates that the request method was HEAD, whose
+// response has no body. Receive returns ErrTruncated if the end of the response cannot
+// be distinguished from a truncation.
 func (c *Conn) Receive(resp *fasthttp.Response, head bool, maxBody int) error {
 	return c.receive(resp, head, maxBody, false)
 }
@@ -92,6 +115,8 @@
 }
 
 func (c *Conn) receive(resp *fasthttp.Response, head bool, maxBody int, allowClose bool) error {
+	c.receiving, c.readable = maxBody > 0, maxFramingRatio*maxBody+maxOverhead
+	defer func() { c.receiving = false }()
 	for range maxInterim {
 		if err := resp.Header.Read(c.read); err != nil {
 			return errors.Trace(err)
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -147,7 +147,8 @@
 	if size == 0 {
 		size = defaultBufferSize
 	}
-	c := &Conn{net: n, addr: addr, read: bufio.NewReaderSize(n, size)}
+	c := &Conn{net: n, addr: addr}
+	c.read = bufio.NewReaderSize(c, size)
 	c.write = bufio.NewWriterSize(c, min(size, defaultBufferSize))
 	return c, nil
 }
