--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -49,8 +49,8 @@
 )
 
 // Claimer acquires claims and records their outcomes. Run must be running for
-// outcomes to be written, and Restore for claims to survive a store that comes back
-// from a copy.
+// outcomes to be written, and Restore for claims to survive the restore of the store
+// from a backup.
 type Claimer struct {
 	store Store
 	entry string
--- a/claimer/restore.go
+++ b/claimer/restore.go
@@ -14,7 +14,7 @@
 
 const (
 	// retainTime is how long an entry retains its claims, to write them again. It is
-	// longer than the time for which the copies of a store lack writes.
+	// longer than the age of the backups that a store is restored from.
 	retainTime = 20 * time.Second
 	// maxRetained bounds the changes of claims that an entry retains, and
 	// maxRetainedBody the bodies of their outcomes, in bytes.
@@ -24,8 +24,8 @@
 	// restoreWriters the number of claims that are written at a time.
 	restoreInterval = 50 * time.Millisecond
 	restoreWriters  = 16
-	// reclaimTime is the time after a store has come back from a copy in which
-	// entries write their claims again, and none is granted.
+	// reclaimTime is the time after a store was restored in which entries write
+	// their claims again, and none is granted.
 	reclaimTime = 2 * time.Second
 )
 
@@ -106,15 +106,15 @@
 }
 
 // reclaimWait returns the time for which no claim is granted, not positive if there is
-// none: the copy that the store came back from may lack the claims of others.
+// none: a store that was restored from a backup may lack the claims of others.
 func (c *Claimer) reclaimWait() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return time.Until(c.reclaimUntil)
 }
 
-// Restore writes the claims that this entry has acquired again when the store has come
-// back from a copy, which may lack them, until ctx ends.
+// Restore writes the claims that this entry has acquired again when the store was
+// restored from a backup, which may lack them, until ctx ends.
 func (c *Claimer) Restore(ctx context.Context) error {
 	for ; ctx.Err() == nil; sleeper.Sleep(ctx, restoreInterval) {
 		era := c.observeEra(c.store.Era())
@@ -134,7 +134,7 @@
 }
 
 // unconfirmed returns the claims that the store may lack in an era, the latest first:
-// the copy lacks the last writes.
+// the backup lacks the last writes.
 func (c *Claimer) unconfirmed(era uint64) []Claim {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,8 +182,8 @@
 }
 
 // resetLost makes the next write of a claim expect no record, after the store was found
-// to have none, if it has come back from a copy since the record was written. Otherwise
-// the read was stale.
+// to have none, if it was restored since the record was written. Otherwise the read was
+// stale.
 func (c *Claimer) resetLost(cl *Claim) {
 	if cl.revision.Era < c.currentEra() {
 		cl.revision = storer.Revision{}
--- a/claimer/restore_test.go
+++ b/claimer/restore_test.go
@@ -15,7 +15,7 @@
 	"poplarwind/storer"
 )
 
-// restorableStore is a store that can be replaced by a copy without its last writes.
+// restorableStore is a store that can be replaced by a backup without its last writes.
 type restorableStore struct {
 	mu      sync.Mutex
 	writes  []storer.Object
@@ -136,7 +136,7 @@
 // released reports whether the first attempt of a key has not run the call.
 func released(key int) bool { return key%len(endings) == 3 }
 
-// TestCallsRunOnceAfterStoreRestored restores the store from a copy that lacks its last
+// TestCallsRunOnceAfterStoreRestored restores the store from a backup that lacks its last
 // writes, the claims of calls among them. Callers repeat their calls at other entries. A
 // call that may have run must not be granted again, and one that has not run at most once
 // more, although some entries were cut off from the store for a moment.
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -90,7 +90,7 @@
 	p.faults = faults
 }
 
-// Restore replaces the objects by a copy that lacks the last writes. Their versions
+// Restore replaces the objects by a backup that lacks the last writes. Their versions
 // are given out again, in a new era.
 func (p *Platform) Restore(writes int) {
 	p.mu.Lock()
--- a/runner/register.go
+++ b/runner/register.go
@@ -42,8 +42,8 @@
 // the first of its failure domain, writes it to the list. It writes nothing if the
 // list already has an equal record of an earlier process: many processes may start
 // at the same time. An entry reads the list while it knows no other entry, before it
-// registers, and then rarely. A store that comes back from a copy may have lost the
-// record, which is then written again.
+// registers, and then rarely. A store that is restored from a backup may have lost
+// the record, which is then written again.
 func (g *Gateway) register(ctx context.Context) error {
 	self, _ := g.table.Self()
 	self.Epoch = 0
@@ -94,7 +94,7 @@
 func (r *registration) confirm(era uint64) { r.confirmed, r.era = true, era }
 
 // lost reports whether the store may have lost the record since it was confirmed, because
-// it came back from a copy.
+// it was restored from a backup.
 func (r *registration) lost(era uint64) bool {
 	if r.era == 0 {
 		r.era = era
--- a/runner/register_test.go
+++ b/runner/register_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// TestRegistrationAfterStoreRestored restores the store from a copy without the list of
+// TestRegistrationAfterStoreRestored restores the store from a backup without the list of
 // entries: each entry must register again, since those that start with seeds that are down
 // find the others by it.
 func TestRegistrationAfterStoreRestored(t *testing.T) {
@@ -75,7 +75,7 @@
 	await()
 	s.store.Restore(backup)
 	if list, err := client.Registered(withDeadline(t), true); err != nil || len(list) != 0 {
-		t.Fatalf("got: %v, %v want: no entry in the copy", names(list), err)
+		t.Fatalf("got: %v, %v want: no entry in the backup", names(list), err)
 	}
 	await()
 	for _, e := range entries {
--- a/runner/restore_test.go
+++ b/runner/restore_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// TestDepartedUpstreamAfterStoreRestored restores the store from a copy in which an
+// TestDepartedUpstreamAfterStoreRestored restores the store from a backup in which an
 // upstream is ready that has drained since, another is listed that was removed, and one
 // that was added is absent. The first two must not be used again, and the third stays.
 func TestDepartedUpstreamAfterStoreRestored(t *testing.T) {
--- a/runner/settings_restore_test.go
+++ b/runner/settings_restore_test.go
@@ -44,7 +44,7 @@
 	})
 }
 
-// TestSettingsAfterStoreRestored restores the store from a copy that lacks its last
+// TestSettingsAfterStoreRestored restores the store from a backup that lacks its last
 // writes. The settings in force must stay, also at entries that start later, and later
 // changes must come into force everywhere, although they get versions that were given
 // out before.
@@ -89,7 +89,7 @@
 	return resp.StatusCode(), string(resp.Header.Peek(relayer.HeaderRan))
 }
 
-// TestCallsRunOnceAfterStoreRestored restores the store from a copy that lacks the claims
+// TestCallsRunOnceAfterStoreRestored restores the store from a backup that lacks the claims
 // and the outcomes of calls, which callers then repeat at another entry. Each must run
 // once, and the outcome be known at the other entry.
 func TestCallsRunOnceAfterStoreRestored(t *testing.T) {
--- a/storer/store.go
+++ b/storer/store.go
@@ -23,8 +23,8 @@
 	ErrRejected = errors.ConstError("platform refused the call")
 )
 
-// Revision orders the versions of an object. A store that comes back from a copy, and
-// has lost its last writes, gives out their versions again in a later era.
+// Revision orders the versions of an object. A store that was restored from a backup,
+// and has lost its last writes, gives out their versions again in a later era.
 type Revision struct {
 	// Era is the era in which the version was written.
 	Era     uint64
--- a/tracker/cluster_test.go
+++ b/tracker/cluster_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// restore replaces the contents by a copy that lacks the last changes.
+// restore replaces the contents by a backup that lacks the last changes.
 func (s *store) restore(changes uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tracker/expiry.go
+++ b/tracker/expiry.go
@@ -15,7 +15,7 @@
 // seconds. Such upstreams stay in use for a hold time. An upstream that was
 // marked as draining, or that disappears alone, is removed at once.
 //
-// A store that comes back from a copy lists upstreams as they were when the copy was made.
+// A store that was restored from a backup lists upstreams as they were when it was made.
 // Those that it lacks stay in use for the hold time, in which they are written again.
 // Those that were draining or removed since are not used again unless their record is
 // written anew, or stays for as long as the store keeps the records of upstreams that
@@ -31,7 +31,8 @@
 	// tracked holds the upstreams in use by ID.
 	tracked map[string]trackedUpstream
 	// departed holds the upstreams that were draining or removed in the last
-	// departureTTL, and withheld those of them that a copy lists again.
+	// departureTTL, and withheld those of them that a restored store lists
+	// again.
 	departed map[string]departedUpstream
 	withheld map[string]withheldUpstream
 }
@@ -58,7 +59,7 @@
 
 const (
 	// departureTTL is how long it is known that an upstream was draining or removed.
-	// The copies of the store are some seconds old.
+	// The backups of the store are some seconds old.
 	departureTTL = time.Minute
 	// withholdTime is longer than the three heartbeat intervals after which the store
 	// removes the record of an upstream that sends none.
--- a/tracker/restore_test.go
+++ b/tracker/restore_test.go
@@ -14,7 +14,7 @@
 	"poplarwind/router"
 )
 
-// TestChangesAfterStoreRestored restores the store from a copy that lacks some changes,
+// TestChangesAfterStoreRestored restores the store from a backup that lacks some changes,
 // after it was away, while entries restart, are killed, frozen or cut off from all others.
 // Every entry must have each later change within propagationBound and never an older
 // version than before, and the number of reads must stay bounded.
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -47,9 +47,9 @@
 // Delta is the changes of one kind between two revisions of the store, in one era.
 type Delta struct {
 	Kind Kind `json:"kind"`
-	// Era is the era of the store, which rises each time that the store has come back
-	// from a copy and has lost changes; revisions are then given out again. It is 0
-	// if unknown, which counts as that of the replica.
+	// Era is the era of the store, which rises each time that it is restored from a
+	// backup and has lost changes; revisions are then given out again. It is 0 if
+	// unknown, which counts as that of the replica.
 	Era uint64 `json:"era,omitempty"`
 	// After and AsOf are the revisions before and after the changes.
 	After uint64 `json:"after,omitempty"`
@@ -159,7 +159,7 @@
 			continue
 		}
 		if old := before[name]; old.Config != nil {
-			// The copy is from before the first configuration.
+			// The backup is from before the first configuration.
 			old.HappenedBy = d.AsOf
 			r.items[name] = old
 			continue
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -132,7 +132,7 @@
 	s.objects = append(s.objects, numbered(storer.Revision{Era: s.era, Version: uint64(len(s.objects) + 1)}, s.written, valid))
 }
 
-// restore replaces the objects by a copy that lacks the last ones.
+// restore replaces the objects by a backup that lacks the last ones.
 func (s *faultyStore) restore(lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,7 +204,7 @@
 }
 
 // TestFollowerConverges writes valid and invalid versions to a store with
-// changing faults, which is sometimes restored from a copy that lacks the last of
+// changing faults, which is sometimes restored from a backup that lacks the last of
 // them. The document in force never gives way to an older one, and is the newest valid
 // one within 10 s of the store's recovery, even if watches still report no changes.
 func TestFollowerConverges(t *testing.T) {
