relayer: a shed call that was retried downstream is not retried again

What servers would have seen: a call that a downstream layer had retried and then shed was sent once more by each layer above it.

Cause: the response was released to the pool when it was recorded as shed, and the header that states the retry was read from it afterwards: empty, or another call's. Found by reading earlier; shown by a test now.

Change: the header is read before the response is released.

Result: TestShedCallRetriedDownstream failed before (GET: 200 after a second server ran it), passes; the fault is one more in the matrix, which passes.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -217,11 +217,11 @@
 	if r.succeeded() {
 		return callResult{resp: r.resp, ran: RanYes}, true
 	}
+	retriedDownstream := r.resp != nil && len(r.resp.Header.Peek(HeaderSpent)) > 0
 	x.recordFailure(r)
 	if x.inFlight > 0 {
 		return callResult{}, false
 	}
-	retriedDownstream := r.resp != nil && len(r.resp.Header.Peek(HeaderSpent)) > 0
 	x.retried = x.retried || retriedDownstream
 	if !retriedDownstream && x.requestRetry(!x.mayHaveRun && x.fallback == nil) {
 		return callResult{}, false
@@ -229,8 +229,8 @@
 	return callResult{err: errNoResponse}, true
 }
 
-// recordFailure records the outcome of a failed attempt: its response becomes
-// the fallback unless the server shed the call. Without a response, the call
+// recordFailure records the outcome of a failed attempt: its response becomes the
+// fallback, or is released if the server shed the call. Without a response, the call
 // may have run if bytes of the request were sent.
 func (x *exchange) recordFailure(r attemptResult) {
 	switch {
--- a/relayer/reject_test.go
+++ b/relayer/reject_test.go
@@ -52,3 +52,21 @@
 		})
 	}
 }
+
+// TestShedCallRetriedDownstream sends a call to a server that sheds it and states that
+// it was retried already. It must not be sent to another server: retries of several
+// layers would multiply.
+func TestShedCallRetriedDownstream(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			b := &testbed{runs: map[string]int{}, objects: map[string][]storer.Object{}, plan: []fault{shedRetried}}
+			r := b.entry(ctx, "e1")
+			if got := send(r, method, "id", ""); got.status == fasthttp.StatusOK || got.ran != "no" || b.runs["id"] != 0 {
+				t.Errorf("%s: got: %v, %d runs want: a rejection, no, 0", method, got, b.runs["id"])
+			}
+			cancel()
+			b.close()
+		})
+	}
+}
--- a/relayer/testbed_test.go
+++ b/relayer/testbed_test.go
@@ -34,6 +34,7 @@
 	slowRun          fault = "responds after the deadline"
 	failFast         fault = "fails fast"
 	shed             fault = "sheds"
+	shedRetried      fault = "sheds after a retry of its own"
 	truncated        fault = "truncated response"
 	noLength         fault = "response without a length"
 	truncatedChunked fault = "truncated chunked response"
@@ -47,7 +48,7 @@
 
 var serverFaults = []fault{
 	healthy, connRefused, slowConnect, resetAtAccept, resetInRequest, resetAfterRead, runAndReset, runAndHang, slowRun,
-	failFast, shed, truncated, noLength, truncatedChunked, garbage, excessBytes, interimResponse, markedDraining, closeAfter, entryPaused,
+	failFast, shed, shedRetried, truncated, noLength, truncatedChunked, garbage, excessBytes, interimResponse, markedDraining, closeAfter, entryPaused,
 }
 
 // storeFault is a fault injected into one store operation.
@@ -173,6 +174,9 @@
 	case shed:
 		write("HTTP/1.1 503 Full\r\nServer-Shed: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
+	case shedRetried:
+		write("HTTP/1.1 503 Full\r\nServer-Shed: 1\r\n" + HeaderSpent + ": 1\r\nContent-Length: 0\r\n\r\n")
+		return true
 	}
 	b.countRun(id)
 	switch f {
