forwarder, quarantiner: lost connections are checked for a crash of the upstream

A connection that ends without a response is now followed by a check: the process runs if an idle connection to it is open or if it accepts a new one. What is sent where does not change.

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -315,6 +315,26 @@
 // probeConn sends a load probe over a connection. It reports whether the
 // expected upstream responded and the connection can be used again.
 func (x *exchange) probeConn(c *pooler.Conn, u *placer.Upstream) bool {
+	sentAt := time.Now()
+	info, ok := x.queryLoad(c, u)
+	if !ok {
+		return false
+	}
+	if info.Instance != "" && info.Instance != u.ID() {
+		x.excludeUpstream(u, info.Instance)
+		return false
+	}
+	if !info.HasLoad {
+		info.HasLoad, info.Load = true, placer.Report{Slowness: 1, At: time.Now()}
+	}
+	x.applyResponseInfo(u, info, sentAt, sourceProbe)
+	return true
+}
+
+// queryLoad sends a load probe over a connection and returns what the response states. It
+// returns false if there is no response to a probe, or if the connection can't be used
+// again.
+func (x *exchange) queryLoad(c *pooler.Conn, u *placer.Upstream) (ResponseInfo, bool) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -323,28 +343,18 @@
 	req.Header.SetRequestURI(x.healthURI)
 	req.Header.SetHost(u.Addr())
 	req.UseHostHeader = true
-	sentAt := time.Now()
-	c.SetDeadline(sentAt.Add(probeTimeout))
+	c.SetDeadline(time.Now().Add(probeTimeout))
 	if err := c.Send(req); err != nil {
-		return false
+		return ResponseInfo{}, false
 	}
 	if err := c.Receive(resp, false, x.forwarder.options.MaxResponseBody); err != nil {
-		return false
+		return ResponseInfo{}, false
 	}
-	now := time.Now()
-	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, now)
-	if resp.ConnectionClose() || len(info.ID) > 0 || info.Stamped || !c.Clean() {
-		return false
-	}
-	if info.Instance != "" && info.Instance != u.ID() {
-		x.excludeUpstream(u, info.Instance)
-		return false
-	}
-	if !info.HasLoad {
-		info.HasLoad, info.Load = true, placer.Report{Slowness: 1, At: now}
-	}
-	x.applyResponseInfo(u, info, sentAt, sourceProbe)
-	return true
+	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
+	usable := !resp.ConnectionClose() && len(info.ID) == 0 && !info.Stamped && c.Clean()
+	// The ID belongs to the response, which is released.
+	info.ID = nil
+	return info, usable
 }
 
 // excludeUpstream excludes an upstream at whose address another one has responded.
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -89,6 +89,9 @@
 	o.sent = c.Written()
 	if o.resp == nil {
 		f.pool.Discard(c)
+		if o.sent && !o.disconnected && connectionLost(o.err) {
+			x.recordLost(u, o.err)
+		}
 		return
 	}
 	info := f.options.Dialect.ParseResponse(&o.resp.Header, time.Now())
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -24,6 +24,9 @@
 	placing int
 	// dispatchScheduled reports whether a timer will call dispatchQueued.
 	dispatchScheduled bool
+	// lost holds the requests to which an upstream gave no response, for each
+	// upstream of which is being checked whether it still runs.
+	lost map[*placer.Upstream][]lostRequest
 	// assignedEntries is the number of entries assigned to the service.
 	assignedEntries int
 }
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -186,6 +186,15 @@
 	p.server(addr).open--
 }
 
+// Alive reports whether the idle connection to addr that was used last is still open, so
+// that the process at its other end runs.
+func (p *Pool) Alive(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.server(addr).idle
+	return len(idle) > 0 && idle[len(idle)-1].clean()
+}
+
 // Trim closes connections whose idle limit has passed.
 func (p *Pool) Trim() {
 	oldest := time.Now().Add(-maxIdle)
