--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -49,6 +49,13 @@
 	return state
 }
 
+// Open reports whether a connection is known to be open, without unread data. It is not
+// known of connections without access to the socket.
+func Open(c net.Conn) bool {
+	_, ok := c.(syscall.Conn)
+	return ok && Inspect(c) == Idle
+}
+
 // Disconnected reports whether the peer closed or reset a TCP connection, even
 // behind data that has not been read.
 func Disconnected(c net.Conn) bool {
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"poplarwind/internal/inspector"
 )
 
 // ErrConnLimit reports that the limit of connections to a server is reached.
@@ -186,13 +188,13 @@
 	p.server(addr).open--
 }
 
-// Alive reports whether the idle connection to addr that was used last is still open, so
-// that the process at its other end runs.
+// Alive reports whether the idle connection to addr that was used last is known to be
+// open, so that the process at its other end runs.
 func (p *Pool) Alive(addr string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.server(addr).idle
-	return len(idle) > 0 && idle[len(idle)-1].clean()
+	return len(idle) > 0 && inspector.Open(idle[len(idle)-1].net)
 }
 
 // Trim closes connections whose idle limit has passed.
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -130,3 +130,36 @@
 		}
 	}
 }
+
+// TestAliveAfterServerCrash checks that a server counts as alive only while it keeps an
+// idle connection open.
+func TestAliveAfterServerCrash(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	addr := l.Addr().String()
+	var p Pool
+	if p.Alive(addr) {
+		t.Error("got: alive without a connection want: unknown")
+	}
+	c, err := p.Get(context.Background(), addr, 1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Put(c)
+	if !p.Alive(addr) {
+		t.Error("got: not alive with an open connection want: alive")
+	}
+	_ = server.Close()
+	for start := time.Now(); p.Alive(addr); time.Sleep(time.Millisecond) {
+		if time.Since(start) > 5*time.Second {
+			t.Fatal("got: alive after the server closed the connection want: unknown")
+		}
+	}
+}
--- a/runner/limit_cluster_test.go
+++ b/runner/limit_cluster_test.go
@@ -1,261 +1,14 @@
 package runner
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"strconv"
-	"sync"
-	"sync/atomic"
-	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"poplarwind/announcer"
 	"poplarwind/forwarder"
-	"poplarwind/pipeliner"
-	"poplarwind/placer"
-	"poplarwind/router"
 )
 
-// clusterDialect is the Dialect of the tests with a cluster.
-type clusterDialect struct{}
-
-func (clusterDialect) ID(h *fasthttp.RequestHeader) []byte { return h.Peek("Id") }
-
-func (clusterDialect) CallerTimeout(*fasthttp.RequestHeader) (time.Duration, bool) {
-	return time.Second, true
-}
-
-func (clusterDialect) SetTarget(*fasthttp.RequestHeader, string, time.Duration) {}
-
-func (clusterDialect) ParseResponse(h *fasthttp.ResponseHeader, now time.Time) forwarder.ResponseInfo {
-	info := forwarder.ResponseInfo{ID: h.Peek("Id"), Stamped: len(h.Peek("Id")) > 0, HasLoad: true, Load: placer.Report{Slots: 8, Slowness: 1, At: now}}
-	if v := h.Peek("Limit"); len(v) > 0 {
-		rate, err := strconv.ParseFloat(string(v), 64)
-		info.RateLimit, info.Limited = rate, err == nil
-	}
-	return info
-}
-
-// clusterArrival is a request that arrived at an upstream.
-type clusterArrival struct {
-	at    time.Time
-	entry string
-}
-
-// clusterUpstream is an upstream of the cluster.
-type clusterUpstream struct {
-	rate     float64
-	limited  bool
-	arrivals []clusterArrival
-	// told holds when each entry first received a response with the limit.
-	told map[string]time.Time
-}
-
-// limitCluster is a set of entries in virtual time: forwarders in front of the same
-// upstreams, whose membership tables exchange heartbeats and which report rate limits
-// to each other. Processes can be killed, added, frozen and cut off.
-type limitCluster struct {
-	t        *testing.T
-	random   *rand.Rand
-	table    *router.Table
-	mu       sync.Mutex
-	nodes    []*clusterNode
-	upstream map[string]*clusterUpstream
-	conns    []net.Conn
-	served   int
-	failed   int
-	sent     int
-	ended    bool
-}
-
-// clusterNode is one entry of the cluster.
-type clusterNode struct {
-	name, domain string
-	table        *announcer.Table
-	forwarder    *forwarder.Forwarder
-	view         atomic.Pointer[membership]
-	load         rateEstimator
-	// gone, frozen and cut are the faults of the entry. Until excused, it may have
-	// been frozen or cut off in the last clusterStableTime.
-	gone, frozen, cut bool
-	excused           time.Time
-}
-
-const (
-	clusterHeartbeat = 500 * time.Millisecond
-	clusterTimeout   = 2500 * time.Millisecond
-	// clusterStableTime is the time after a fault for which an entry is excused.
-	clusterStableTime = 3 * time.Second
-	clusterDomains    = 4
-)
-
-func newLimitCluster(t *testing.T, seed uint64, upstreams int) *limitCluster {
-	c := &limitCluster{t: t, random: rand.New(rand.NewPCG(seed, 24)), upstream: make(map[string]*clusterUpstream)}
-	var err error
-	c.table, err = router.NewTable(router.Spec{
-		Version:  1,
-		Routes:   []router.Route{{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "s", Weight: 1}}}},
-		Services: []router.Service{{Name: "s", HealthPath: "/health", MaxConns: 1000}},
-	}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for i := range upstreams {
-		c.upstream[fmt.Sprint("u", i)] = &clusterUpstream{told: make(map[string]time.Time)}
-	}
-	return c
-}
-
-func (c *limitCluster) domain(i int) string { return string(rune('a' + i%clusterDomains)) }
-
-// add starts an entry.
-func (c *limitCluster) add() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	n := &clusterNode{name: fmt.Sprintf("e%02d", len(c.nodes)), domain: c.domain(len(c.nodes))}
-	n.table = announcer.NewTable(now, announcer.Member{Name: n.name, Domain: n.domain, Epoch: now.UnixNano(), Capacity: 48}, clusterTimeout)
-	n.table.SetRemoteTimeout(remoteTimeoutFactor * clusterTimeout)
-	n.table.SetLoad(true, 0)
-	for _, other := range c.nodes {
-		self, _ := other.table.Self()
-		n.table.MergeDescriptions(now, false, self)
-	}
-	n.forwarder = forwarder.New(forwarder.Options{
-		Dialect: clusterDialect{}, Domain: n.domain, ProbeRate: 60, RetryBudget: forwarder.RetryBudget{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second},
-		Entries:       func(service string) forwarder.EntrySet { return n.membership().entrySet(n.name, service) },
-		LimitFraction: func(u placer.Spec, rate float64) float64 { return n.membership().limitFraction(n.name, u, rate) },
-		Dial:          func(_ context.Context, addr string) (net.Conn, error) { return c.dial(n, addr) },
-	})
-	n.forwarder.Configure(c.table)
-	for i := range len(c.upstream) {
-		id := fmt.Sprint("u", i)
-		n.forwarder.PutUpstream(placer.Spec{ID: id, Service: "s", Addr: id, Domain: c.domain(i), Slots: 8})
-	}
-	c.nodes = append(c.nodes, n)
-	go c.run(n)
-}
-
-// membership returns the entry's current view.
-func (n *clusterNode) membership() *membership {
-	now, view := time.Now(), n.view.Load()
-	if view == nil || now.Sub(view.at) > membershipTTL {
-		view = newMembership(now, n.name, n.table.Live(now), view)
-		n.view.Store(view)
-	}
-	return view
-}
-
-// dial connects an entry to an upstream.
-func (c *limitCluster) dial(n *clusterNode, addr string) (net.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ended {
-		return nil, net.ErrClosed
-	}
-	client, server := net.Pipe()
-	c.conns = append(c.conns, client, server)
-	go c.serve(server, n, addr)
-	return client, nil
-}
-
-// serve implements an upstream's side of a connection of an entry.
-func (c *limitCluster) serve(conn net.Conn, n *clusterNode, id string) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	u := c.upstream[id]
-	for {
-		var req fasthttp.Request
-		if err := req.Read(reader); err != nil {
-			return
-		}
-		limit := ""
-		probe := string(req.Header.RequestURI()) == "/health"
-		c.mu.Lock()
-		if !probe {
-			u.arrivals = append(u.arrivals, clusterArrival{at: time.Now(), entry: n.name})
-		}
-		c.mu.Unlock()
-		if !probe {
-			time.Sleep(20 * time.Millisecond)
-		}
-		c.mu.Lock()
-		if u.limited && !probe {
-			limit = fmt.Sprintf("Limit: %v\r\n", u.rate)
-			if _, ok := u.told[n.name]; !ok {
-				u.told[n.name] = time.Now()
-			}
-		}
-		c.mu.Unlock()
-		id := ""
-		if !probe {
-			id = fmt.Sprintf("Id: %s\r\n", req.Header.Peek("Id"))
-		}
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%sContent-Length: 2\r\n\r\nok", id, limit); err != nil {
-			return
-		}
-	}
-}
-
-// reachable reports whether messages pass between two entries.
-func (c *limitCluster) reachable(a, b *clusterNode) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !a.gone && !a.frozen && !a.cut && !b.gone && !b.frozen && !b.cut
-}
-
-// run runs the periodic tasks of an entry.
-func (c *limitCluster) run(n *clusterNode) {
-	for round := 0; ; round++ {
-		time.Sleep(limitReportInterval)
-		c.mu.Lock()
-		stopped, frozen := n.gone || c.ended, n.frozen
-		peers := make([]*clusterNode, 0, 3)
-		for range 3 {
-			peers = append(peers, c.nodes[c.random.IntN(len(c.nodes))])
-		}
-		delay := time.Duration(c.random.Int64N(int64(100 * time.Millisecond)))
-		c.mu.Unlock()
-		if stopped {
-			return
-		}
-		if frozen {
-			continue
-		}
-		n.table.Tick(time.Now())
-		n.table.SetLoad(true, n.load.update(time.Now(), n.forwarder.Arrived()))
-		n.forwarder.UpdateLimits()
-		for _, p := range peers {
-			if p != n && c.reachable(n, p) {
-				go c.exchange(n, p, delay)
-			}
-		}
-		if reports := n.forwarder.TakeLimitReports(); len(reports) > 0 {
-			go c.deliver(n, reports, delay)
-		}
-	}
-}
-
-// exchange exchanges the tables of two entries.
-func (c *limitCluster) exchange(a, b *clusterNode, delay time.Duration) {
-	time.Sleep(delay)
-	for _, pair := range [][2]*clusterNode{{a, b}, {b, a}} {
-		from, to := pair[0], pair[1]
-		now := time.Now()
-		self, _ := from.table.Self()
-		to.table.MergeDescriptions(now, true, self)
-		missing := to.table.MergeHeartbeats(now, from.table.Heartbeats(nil, now, 2*clusterHeartbeat))
-		to.table.MergeDescriptions(now, false, from.table.Lookup(missing)...)
-	}
-}
-
 // deliver delivers the reports of an entry to the others that it sees.
-func (c *limitCluster) deliver(n *clusterNode, reports []forwarder.LimitReport, delay time.Duration) {
+func (c *cluster) deliver(n *clusterNode, reports []forwarder.LimitReport, delay time.Duration) {
 	time.Sleep(delay)
 	for _, r := range reports {
 		c.deliverReport(n, r)
@@ -263,7 +16,7 @@
 }
 
 // deliverReport delivers one report to its recipients.
-func (c *limitCluster) deliverReport(n *clusterNode, r forwarder.LimitReport) {
+func (c *cluster) deliverReport(n *clusterNode, r forwarder.LimitReport) {
 	for _, m := range n.membership().limitRecipients(r) {
 		c.mu.Lock()
 		var to *clusterNode
@@ -282,50 +35,8 @@
 	}
 }
 
-// call sends one request to an entry that serves callers.
-func (c *limitCluster) call(i int) {
-	c.mu.Lock()
-	var n *clusterNode
-	for n == nil || n.gone || n.frozen {
-		n = c.nodes[c.random.IntN(len(c.nodes))]
-	}
-	// Most callers use the entries that are assigned to the service.
-	if list := n.membership().assignedAll("s"); len(list) > 0 && c.random.Float64() < 0.9 {
-		name := list[c.random.IntN(len(list))].Name
-		for _, other := range c.nodes {
-			if other.name == name && !other.gone && !other.frozen {
-				n = other
-			}
-		}
-	}
-	c.sent++
-	c.mu.Unlock()
-	var req fasthttp.Request
-	req.Header.SetMethod("POST")
-	req.SetRequestURI("/x")
-	req.Header.SetHost("h")
-	req.Header.Set("Id", fmt.Sprint("r", i))
-	call := pipeliner.Call{Request: &req, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
-	n.forwarder.Handle(context.Background(), &call)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if call.Response.StatusCode() == fasthttp.StatusOK {
-		c.served++
-	} else {
-		c.failed++
-	}
-}
-
-// load sends requests at a rate per second for a duration.
-func (c *limitCluster) load(d time.Duration, rate int) {
-	for i := range int(d.Seconds() * float64(rate)) {
-		time.Sleep(time.Second / time.Duration(rate))
-		go c.call(i)
-	}
-}
-
 // setLimits makes every k-th upstream state a limit.
-func (c *limitCluster) setLimits(k int, rate float64, limited bool) {
+func (c *cluster) setLimits(k int, rate float64, limited bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := 0; i < len(c.upstream); i += k {
@@ -334,39 +45,10 @@
 	}
 }
 
-// fault injects one fault at random into one entry, or adds one.
-func (c *limitCluster) fault() {
-	c.mu.Lock()
-	joins := c.random.IntN(4) == 0
-	c.mu.Unlock()
-	if joins {
-		c.add()
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := c.nodes[c.random.IntN(len(c.nodes))]
-	d := time.Second + time.Duration(c.random.Int64N(int64(4*time.Second)))
-	switch c.random.IntN(3) {
-	case 0:
-		n.gone = true
-	case 1:
-		n.frozen = true
-	case 2:
-		n.cut = true
-	}
-	n.excused = time.Now().Add(d + clusterStableTime)
-	time.AfterFunc(d, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		n.frozen, n.cut = false, false
-	})
-}
-
 // most returns the greatest number of requests in limitWindow that an upstream got from
 // entries that had received a response with its limit half a second before. Entries are
 // excused until some time after their last fault.
-func (c *limitCluster) most(u *clusterUpstream) int {
+func (c *cluster) most(u *clusterUpstream) int {
 	var times []time.Time
 	excused := make(map[string]time.Time)
 	for _, n := range c.nodes {
@@ -383,7 +65,7 @@
 
 // checkLimits checks the upstreams that setLimits selected. It returns the number of
 // requests that each of them got.
-func (c *limitCluster) checkLimits(k int, rate float64) map[string]int {
+func (c *cluster) checkLimits(k int, rate float64) map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	got := make(map[string]int)
@@ -400,7 +82,7 @@
 
 // checkLifted checks that upstreams that no longer state a limit are used, given the
 // number of requests that they got before.
-func (c *limitCluster) checkLifted(before map[string]int) {
+func (c *cluster) checkLifted(before map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range before {
@@ -410,14 +92,3 @@
 	}
 	c.t.Logf("sent %d served %d failed %d", c.sent, c.served, c.failed)
 }
-
-func (c *limitCluster) close() {
-	c.mu.Lock()
-	c.ended = true
-	conns := c.conns
-	c.mu.Unlock()
-	for _, conn := range conns {
-		_ = conn.Close()
-	}
-	time.Sleep(2 * time.Second)
-}
--- a/runner/limit_test.go
+++ b/runner/limit_test.go
@@ -184,7 +184,7 @@
 	} {
 		t.Run(fmt.Sprintf("rate=%v,every=%d,faulty=%v", tt.rate, tt.every, tt.faulty), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newLimitCluster(t, uint64(seed), 24)
+				c := newCluster(t, uint64(seed), 24)
 				defer c.close()
 				for range 40 {
 					c.add()
