runner: failing test of a request that crashes upstreams

1 to 40 entries in virtual time in front of 24 upstreams, all of which a request crashes that is sent to all entries again and again.

--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -54,11 +54,16 @@
 	arrivals []clusterArrival
 	// told holds when each entry first received a response with the limit.
 	told map[string]time.Time
+	// down is set while the upstream does not run. Boot counts its starts.
+	down  bool
+	boot  int64
+	conns []net.Conn
 }
 
 // cluster is a set of entries in virtual time: forwarders in front of the same
 // upstreams, whose membership tables exchange heartbeats and which report rate limits
-// to each other. Processes can be killed, added, frozen and cut off.
+// to each other. Entries can be killed, added, frozen and cut off, and upstreams crash
+// when they run certain requests.
 type cluster struct {
 	t        *testing.T
 	random   *rand.Rand
@@ -71,6 +76,7 @@
 	failed   int
 	sent     int
 	ended    bool
+	crashing crashingRequests
 }
 
 // clusterNode is one entry of the cluster.
@@ -98,8 +104,11 @@
 	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 24)), upstream: make(map[string]*clusterUpstream)}
 	var err error
 	c.table, err = router.NewTable(router.Spec{
-		Version:  1,
-		Routes:   []router.Route{{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "s", Weight: 1}}}},
+		Version: 1,
+		Routes: []router.Route{
+			{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "s", Weight: 1}}},
+			{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "s", Weight: 1}}},
+		},
 		Services: []router.Service{{Name: "s", HealthPath: "/health", MaxConns: 1000}},
 	}, nil)
 	if err != nil {
@@ -134,13 +143,18 @@
 	})
 	n.forwarder.Configure(c.table)
 	for i := range len(c.upstream) {
-		id := fmt.Sprint("u", i)
-		n.forwarder.PutUpstream(placer.Spec{ID: id, Service: "s", Addr: id, Domain: c.domain(i), Slots: 8})
+		n.forwarder.PutUpstream(c.spec(i))
 	}
 	c.nodes = append(c.nodes, n)
 	go c.run(n)
 }
 
+// spec returns the service discovery record of an upstream. The caller must hold the lock.
+func (c *cluster) spec(i int) placer.Spec {
+	id := fmt.Sprint("u", i)
+	return placer.Spec{ID: id, Service: "s", Addr: id, Domain: c.domain(i), Slots: 8, StartedAt: c.upstream[id].boot}
+}
+
 // membership returns the entry's current view.
 func (n *clusterNode) membership() *membership {
 	now, view := time.Now(), n.view.Load()
@@ -155,10 +169,12 @@
 func (c *cluster) dial(n *clusterNode, addr string) (net.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	u := c.upstream[addr]
+	if c.ended || u.down {
 		return nil, net.ErrClosed
 	}
 	client, server := net.Pipe()
+	u.conns = append(u.conns, server)
 	c.conns = append(c.conns, client, server)
 	go c.serve(server, n, addr)
 	return client, nil
@@ -184,6 +200,9 @@
 		if !probe {
 			time.Sleep(20 * time.Millisecond)
 		}
+		if c.crash(n, id, string(req.Header.RequestURI())) {
+			return
+		}
 		c.mu.Lock()
 		if u.limited && !probe {
 			limit = fmt.Sprintf("Limit: %v\r\n", u.rate)
@@ -254,14 +273,14 @@
 	}
 }
 
-// call sends one request to an entry that serves callers.
-func (c *cluster) call(i int) {
+// pick returns an entry that serves callers, mostly one that is assigned to the service.
+func (c *cluster) pick() *clusterNode {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	var n *clusterNode
 	for n == nil || n.gone || n.frozen {
 		n = c.nodes[c.random.IntN(len(c.nodes))]
 	}
-	// Most callers use the entries that are assigned to the service.
 	if list := n.membership().assignedAll("s"); len(list) > 0 && c.random.Float64() < 0.9 {
 		name := list[c.random.IntN(len(list))].Name
 		for _, other := range c.nodes {
@@ -270,18 +289,28 @@
 			}
 		}
 	}
-	c.sent++
-	c.mu.Unlock()
+	return n
+}
+
+// request sends one request to an entry and returns the status of its response.
+func (n *clusterNode) request(id, method, path string) int {
 	var req fasthttp.Request
-	req.Header.SetMethod("POST")
-	req.SetRequestURI("/x")
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
 	req.Header.SetHost("h")
-	req.Header.Set("Id", fmt.Sprint("r", i))
+	req.Header.Set("Id", id)
 	call := pipeliner.Call{Request: &req, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
 	n.forwarder.Handle(context.Background(), &call)
+	return call.Response.StatusCode()
+}
+
+// call sends one request to an entry that serves callers.
+func (c *cluster) call(i int) {
+	status := c.pick().request(fmt.Sprint("r", i), "POST", fmt.Sprint("/x", i))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if call.Response.StatusCode() == fasthttp.StatusOK {
+	c.sent++
+	if status == fasthttp.StatusOK {
 		c.served++
 	} else {
 		c.failed++
