quarantiner, forwarder, runner: requests that crash upstreams are no longer forwarded

Cause: nothing connects the copies of a request. Each copy has an id of its own, so that each entry sends it, and its retry, as if it were the first, and the ejection of an upstream says nothing of what it ran. Ruled out: too many sends in one attempt of a client (two at most in each line), entries that stop each for itself (one fingerprint goes through all entries).

Change: a crash that the check of a lost connection finds is recorded under the fingerprint of the request, by process of the upstream. After three processes the request is in quarantine: it is rejected before it is sent, and states that it did not run. A complete response to a copy clears what is known, so that a popular request that was in flight at several crashes is served. Entries report crashes to all others at once, compare digests of their tables every second, and keep quarantines in the store for the case that all of them are killed, also after it was restored from a backup. An entry that starts takes a copy from another one, or the store.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"poplarwind/placer"
 	"poplarwind/pooler"
@@ -31,8 +32,37 @@
 // fingerprint returns the fingerprint of the request: it consists of all that the caller
 // determines, including who the caller is.
 func (x *exchange) fingerprint() quarantiner.Fingerprint {
-	h := &x.call.Request.Header
-	return quarantiner.FingerprintOf(h.Method(), h.Host(), h.RequestURI(), h.Peek("Authorization"), h.Peek("Cookie"), x.call.Request.Body())
+	if !x.hasPrint {
+		h := &x.call.Request.Header
+		x.print = quarantiner.FingerprintOf(h.Method(), h.Host(), h.RequestURI(), h.Peek("Authorization"), h.Peek("Cookie"), x.call.Request.Body())
+		x.hasPrint = true
+	}
+	return x.print
+}
+
+// quarantineRetryAfter is the Retry-After value of a request in quarantine. A quarantine
+// ends when a copy that was sent before it succeeds, or with the upstreams' next version.
+const quarantineRetryAfter = 30 * time.Second
+
+// quarantined reports whether the request must not be forwarded.
+func (x *exchange) quarantined() bool {
+	t := x.forwarder.options.Quarantine
+	if t.Empty() || !t.Quarantined(time.Now(), x.fingerprint()) {
+		return false
+	}
+	x.retryAfter = quarantineRetryAfter
+	return true
+}
+
+// recordComplete records that the request got a response and did not crash its upstream.
+func (x *exchange) recordComplete(o outcome) {
+	t := x.forwarder.options.Quarantine
+	if t.Empty() || o.resp.StatusCode() >= fasthttp.StatusInternalServerError {
+		return
+	}
+	if f := x.fingerprint(); t.RecordResponse(time.Now(), f) {
+		x.forwarder.options.Log.Info("request completed that was known for crashes", "request", string(x.id), "service", x.service.name, "fingerprint", f.String())
+	}
 }
 
 // connectionLost reports whether an attempt ended because the upstream closed or reset
@@ -67,7 +97,7 @@
 	s, o := x.service, x.forwarder.options
 	crashed := !x.running(u)
 	s.mu.Lock()
-	lost := s.lost[u]
+	lost, process := s.lost[u], quarantiner.Process{Upstream: u.ID(), StartedAt: u.Spec().StartedAt}
 	delete(s.lost, u)
 	s.mu.Unlock()
 	level := slog.LevelDebug
@@ -76,6 +106,17 @@
 	}
 	for _, r := range lost {
 		o.Log.Log(context.Background(), level, "connection to upstream lost while it ran a request", "request", r.id, "upstream", u.ID(), "service", s.name, "fingerprint", r.fingerprint.String(), "crashed", crashed)
+		if crashed {
+			x.recordCrash(process, r)
+		}
+	}
+}
+
+// recordCrash records that a process of an upstream crashed while it ran the request.
+func (x *exchange) recordCrash(process quarantiner.Process, r lostRequest) {
+	o := x.forwarder.options
+	if crashes, quarantined := o.Quarantine.RecordCrash(time.Now(), r.fingerprint, process); quarantined {
+		o.Log.Warn("request in quarantine", "request", r.id, "upstream", process.Upstream, "service", x.service.name, "fingerprint", r.fingerprint.String(), "crashes", crashes)
 	}
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"poplarwind/limiter"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
+	"poplarwind/quarantiner"
 	"poplarwind/router"
 )
 
@@ -22,6 +23,7 @@
 	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
 	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
+	errQuarantined  = errors.ConstError("upstreams crash when they run this request")
 	errNoUpstream   = errors.ConstError("service has no upstream")
 	errDisconnected = errors.ConstError("caller left")
 	errTimeout      = errors.ConstError("time limit passed")
@@ -59,6 +61,9 @@
 	unreachable []*placer.Upstream
 	// mayHaveRun reports whether an upstream may have run the request.
 	mayHaveRun bool
+	// print is the fingerprint of the request, valid if hasPrint is set.
+	print    quarantiner.Fingerprint
+	hasPrint bool
 	// fallback is an upstream's error response, returned if no better one
 	// arrives.
 	fallback *fasthttp.Response
@@ -107,6 +112,7 @@
 		}
 		o := x.send(cand)
 		if o.final(x.route.Idempotent) {
+			x.recordComplete(o)
 			x.releaseFallback()
 			return result{resp: o.resp}
 		}
@@ -134,6 +140,9 @@
 	if o.disconnected || x.caller.Err() != nil {
 		return errDisconnected
 	}
+	if x.quarantined() {
+		return errQuarantined
+	}
 	if len(x.attempted) >= x.route.Attempts {
 		return errNoRetry
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/pooler"
+	"poplarwind/quarantiner"
 	"poplarwind/router"
 )
 
@@ -60,6 +61,9 @@
 	// requests per second, that this entry may use. The fractions of all entries add
 	// up to 1. Nil means a single entry.
 	LimitFraction func(u placer.Spec, rate float64) float64
+	// Quarantine holds the requests that are not forwarded because upstreams crash
+	// when they run them. Nil means a table of this entry alone.
+	Quarantine *quarantiner.Table
 	// Refresh loads the newest configuration that is available before ctx
 	// expires. It is called when a request matches no route. Nil disables it.
 	Refresh func(ctx context.Context)
@@ -117,6 +121,9 @@
 	if o.LimitFraction == nil {
 		o.LimitFraction = func(placer.Spec, float64) float64 { return 1 }
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantiner.NewTable()
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -253,6 +260,9 @@
 	if svc := t.Service(name); svc != nil {
 		x.healthURI, x.maxConns = svc.HealthPath, svc.MaxConns
 	}
+	if x.quarantined() {
+		return x, errQuarantined
+	}
 	x.serviceTime = x.service.admit(x.route.Name, time.Now())
 	return x, nil
 }
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -92,6 +92,8 @@
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
 	Rank                          int
+	// Fingerprint identifies the copies of a request in quarantine, empty for others.
+	Fingerprint string
 	// Loads are the last reported loads of Upstreams at the time of the
 	// response.
 	Loads []Load
@@ -124,6 +126,9 @@
 	if res.err != nil {
 		r.Cause = res.err.Error()
 	}
+	if errors.Is(res.err, errQuarantined) {
+		r.Fingerprint = x.fingerprint().String()
+	}
 	if x.route == nil {
 		return r
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -49,7 +49,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined):
 		return placer.Abandoned
 	default:
 		return placer.Failed
@@ -60,10 +60,14 @@
 // connection. An upstream without a connection is recorded as unreachable.
 func (x *exchange) send(cand candidate) outcome {
 	o := outcome{}
-	if cand.conn == nil {
+	switch {
+	case cand.conn == nil:
 		x.unreachable = append(x.unreachable, cand.upstream)
 		o.err = cand.err
-	} else {
+	case x.quarantined():
+		x.forwarder.pool.Put(cand.conn)
+		o.err = errQuarantined
+	default:
 		x.attempted = append(x.attempted, cand.upstream)
 		x.roundTrip(cand, &o)
 	}
--- /dev/null
+++ b/quarantiner/helpers_test.go
@@ -0,0 +1,5 @@
+package quarantiner
+
+import "log/slog"
+
+var discard = slog.New(slog.DiscardHandler)
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -20,6 +20,7 @@
 
 	"poplarwind/announcer"
 	"poplarwind/forwarder"
+	"poplarwind/quarantiner"
 	"poplarwind/tracker"
 )
 
@@ -33,6 +34,8 @@
 	Table     *announcer.Table
 	Announcer *announcer.Announcer
 	Forwarder *forwarder.Forwarder
+	// Quarantine holds the requests during which upstreams crashed.
+	Quarantine *quarantiner.Table
 	// StoreEra returns the era of the store as of the last read.
 	StoreEra func() uint64
 	// StoreCalls returns the number of calls made to the store.
@@ -111,6 +114,7 @@
 				o.ObserveFloat64(i, float64(s.Usable), metric.WithAttributes(attribute.String("service", s.Name)))
 			}
 		}},
+		{"poplarwind.quarantine.requests", "Requests in quarantine because upstreams crash when they run them.", g.scalar(func() float64 { return float64(g.quarantined()) })},
 		{"poplarwind.upstream.limit", "Rate limit in requests a second that an upstream states, by upstream.", g.limitedUpstreams(func(u forwarder.UpstreamStatus) float64 { return *u.RateLimit })},
 		{"poplarwind.upstream.limit.sent", "Requests sent to an upstream since it states a rate limit, by upstream.", g.limitedUpstreams(func(u forwarder.UpstreamStatus) float64 { return float64(u.Sent) })},
 	} {
@@ -129,6 +133,17 @@
 	return nil
 }
 
+// quarantined returns the number of requests in quarantine.
+func (g *Gateway) quarantined() int {
+	n := 0
+	for _, r := range g.sources.Quarantine.Status(time.Now()) {
+		if r.Quarantined {
+			n++
+		}
+	}
+	return n
+}
+
 // scalar returns a callback that observes one value without attributes.
 func (g *Gateway) scalar(read func() float64) func(metric.Observer, metric.Float64Observable) {
 	return func(o metric.Observer, i metric.Float64Observable) { o.ObserveFloat64(i, read()) }
@@ -174,14 +189,16 @@
 	Version int64         `json:"version"`
 	// Positions holds the revision and the age of the local replica of the store,
 	// by kind of object.
-	Positions  map[string]tracker.Position `json:"marks"`
-	Watches    bool                        `json:"watches"`
-	Members    []announcer.Status          `json:"members"`
-	Services   []forwarder.ServiceStatus   `json:"services"`
-	StoreCalls int64                       `json:"calls"`
-	StoreEra   uint64                      `json:"era"`
-	Peers      announcer.Traffic           `json:"peers"`
-	InFlight   int                         `json:"running"`
+	Positions map[string]tracker.Position `json:"marks"`
+	Watches   bool                        `json:"watches"`
+	Members   []announcer.Status          `json:"members"`
+	Services  []forwarder.ServiceStatus   `json:"services"`
+	// Crashes holds the requests during which upstreams crashed.
+	Crashes    []quarantiner.Status `json:"crashes,omitempty"`
+	StoreCalls int64                `json:"calls"`
+	StoreEra   uint64               `json:"era"`
+	Peers      announcer.Traffic    `json:"peers"`
+	InFlight   int                  `json:"running"`
 }
 
 // Status returns the current state of the entry.
@@ -190,7 +207,7 @@
 	now := time.Now()
 	out := GatewayStatus{
 		Entry: s.Name, Ready: s.Ready(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
-		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(),
+		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
 		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
--- a/reporter/requestlog.go
+++ b/reporter/requestlog.go
@@ -54,6 +54,9 @@
 	if v.Cause != "" {
 		attrs = append(attrs, "cause", v.Cause, "retry_after_ms", v.RetryAfter.Milliseconds())
 	}
+	if v.Fingerprint != "" {
+		attrs = append(attrs, "fingerprint", v.Fingerprint)
+	}
 	for _, load := range v.Loads {
 		attrs = append(attrs, slog.Group("load", "own", load.InFlight, "running", load.Running, "waiting", load.Waiting, "slowness", load.Slowness, "age_ms", load.Age.Milliseconds()))
 	}
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -18,6 +18,7 @@
 	"poplarwind/forwarder"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
+	"poplarwind/quarantiner"
 	"poplarwind/router"
 )
 
@@ -77,6 +78,7 @@
 	sent     int
 	ended    bool
 	crashing crashingRequests
+	store    clusterStore
 }
 
 // clusterNode is one entry of the cluster.
@@ -84,6 +86,7 @@
 	name, domain string
 	table        *announcer.Table
 	forwarder    *forwarder.Forwarder
+	quarantiner  *quarantiner.Quarantiner
 	view         atomic.Pointer[membership]
 	load         rateEstimator
 	// gone, frozen and cut are the faults of the entry. Until excused, it may have
@@ -135,10 +138,12 @@
 		self, _ := other.table.Self()
 		n.table.MergeDescriptions(now, false, self)
 	}
+	quarantine := c.addQuarantiner(n)
 	n.forwarder = forwarder.New(forwarder.Options{
 		Dialect: clusterDialect{}, Domain: n.domain, ProbeRate: 60, RetryBudget: forwarder.RetryBudget{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second},
 		Entries:       func(service string) forwarder.EntrySet { return n.membership().entrySet(n.name, service) },
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return n.membership().limitFraction(n.name, u, rate) },
+		Quarantine:    quarantine,
 		Dial:          func(_ context.Context, addr string) (net.Conn, error) { return c.dial(n, addr) },
 	})
 	n.forwarder.Configure(c.table)
--- a/runner/crash_cluster_test.go
+++ b/runner/crash_cluster_test.go
@@ -1,10 +1,19 @@
 package runner
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/juju/errors"
+
+	"poplarwind/announcer"
+	"poplarwind/quarantiner"
 )
 
 const (
@@ -28,6 +37,131 @@
 	arrivals []clusterArrival
 }
 
+// clusterStore is the part of the platform's store that keeps quarantines.
+type clusterStore struct {
+	reports map[quarantiner.Fingerprint]quarantiner.Report
+	at      map[quarantiner.Fingerprint]time.Time
+	era     uint64
+	down    bool
+	calls   int
+}
+
+// clusterClient is an entry's access to the store and to other entries.
+type clusterClient struct {
+	cluster *cluster
+	node    *clusterNode
+}
+
+// call counts a call to the store and returns an error if the entry can't reach it. The
+// caller must hold the lock.
+func (c clusterClient) call() error {
+	c.cluster.store.calls++
+	if c.cluster.store.down || c.node.frozen || c.node.gone {
+		return errors.New("store is away")
+	}
+	return nil
+}
+
+func (c clusterClient) PutQuarantine(_ context.Context, r quarantiner.Report) error {
+	c.cluster.mu.Lock()
+	defer c.cluster.mu.Unlock()
+	if err := c.call(); err != nil {
+		return err
+	}
+	s := &c.cluster.store
+	if s.reports == nil {
+		s.reports, s.at = make(map[quarantiner.Fingerprint]quarantiner.Report), make(map[quarantiner.Fingerprint]time.Time)
+	}
+	s.reports[r.Fingerprint], s.at[r.Fingerprint] = r, time.Now()
+	return nil
+}
+
+func (c clusterClient) Quarantines(context.Context) ([]quarantiner.Report, int, error) {
+	c.cluster.mu.Lock()
+	defer c.cluster.mu.Unlock()
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	var out []quarantiner.Report
+	for f, r := range c.cluster.store.reports {
+		r.Crashes = slices.Clone(r.Crashes)
+		for i := range r.Crashes {
+			r.Crashes[i].Age += time.Since(c.cluster.store.at[f])
+		}
+		r.StoredEra = c.cluster.store.era
+		out = append(out, r)
+	}
+	return out, 0, nil
+}
+
+// Send implements quarantiner.Peers.
+func (c clusterClient) Send(_ context.Context, m announcer.Member, _ string, message, response any) error {
+	time.Sleep(time.Millisecond)
+	c.cluster.mu.Lock()
+	var to *clusterNode
+	for _, n := range c.cluster.nodes {
+		if n.name == m.Name {
+			to = n
+		}
+	}
+	c.cluster.mu.Unlock()
+	if to == nil || !c.cluster.reachable(c.node, to) {
+		return errors.New("entry is out of reach")
+	}
+	packed, err := announcer.Pack(message)
+	if err != nil {
+		return err
+	}
+	body, err := packed.Unpack()
+	if err != nil {
+		return err
+	}
+	reply, err := to.quarantiner.Serve(body)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, response)
+}
+
+// addQuarantiner adds the quarantines of an entry and returns their table.
+func (c *cluster) addQuarantiner(n *clusterNode) *quarantiner.Table {
+	table, client := quarantiner.NewTable(), clusterClient{c, n}
+	n.quarantiner = quarantiner.New(quarantiner.Options{
+		Table: table, Peers: client, Store: client, Self: n.name, Domain: n.domain,
+		Live:     func() []announcer.Member { return n.table.Live(time.Now()) },
+		Contacts: func() []announcer.Member { return n.table.Peers(time.Now()) },
+		Era: func() uint64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.store.era
+		},
+		Log: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		if err := n.quarantiner.Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	go func() {
+		for {
+			time.Sleep(10 * time.Millisecond)
+			c.mu.Lock()
+			ended := n.gone || c.ended
+			c.mu.Unlock()
+			if ended {
+				cancel()
+				return
+			}
+		}
+	}()
+	return table
+}
+
 // crash crashes an upstream if a request that reached it from an entry is to crash it.
 func (c *cluster) crash(n *clusterNode, id, path string) bool {
 	c.mu.Lock()
@@ -77,7 +211,16 @@
 	}
 }
 
-// killAll kills all entries at the same moment and starts as many.
+// restoreStore restores the store from a copy without quarantines.
+func (c *cluster) restoreStore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.era++
+	clear(c.store.reports)
+}
+
+// killAll kills all entries at the same moment and starts as many, which are excused for
+// as long as after any fault.
 func (c *cluster) killAll() {
 	c.mu.Lock()
 	n := 0
@@ -91,6 +234,11 @@
 	for range n {
 		c.add()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, node := range c.nodes[len(c.nodes)-n:] {
+		node.excused = time.Now().Add(clusterStableTime)
+	}
 }
 
 // checkCrashes checks how often the crashing request reached upstreams after it had
@@ -147,6 +295,9 @@
 		// rate is the number of crashing requests a second.
 		rate            int
 		faulty, killAll bool
+		// storeDown is set if the store is away, and restored if it comes back without
+		// the quarantines, before all entries are killed.
+		storeDown, restored bool
 	}{
 		{name: "one entry", method: "POST", path: "/order", entries: 1, rate: 4},
 		{name: "one entry, idempotent", method: "GET", path: "/read/a", entries: 1, rate: 4},
@@ -157,6 +308,8 @@
 		{name: "faults, idempotent", method: "GET", path: "/read/a", entries: 40, rate: 8, faulty: true},
 		{name: "faults, few entries", method: "GET", path: "/read/a", entries: 6, rate: 8, faulty: true},
 		{name: "all entries killed", method: "GET", path: "/read/a", entries: 16, rate: 4, killAll: true},
+		{name: "store away", method: "GET", path: "/read/a", entries: 16, rate: 4, faulty: true, storeDown: true},
+		{name: "store restored, all entries killed", method: "GET", path: "/read/a", entries: 16, rate: 4, restored: true, killAll: true},
 		{name: "all entries killed, faults", method: "POST", path: "/order", entries: 40, rate: 4, faulty: true, killAll: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -168,7 +321,7 @@
 				}
 				time.Sleep(4 * time.Second)
 				c.load(2*time.Second, 100)
-				c.crashing.path = tt.path
+				c.crashing.path, c.store.down, c.store.era = tt.path, tt.storeDown, 1
 				go c.loadCrashing(60*time.Second, tt.rate, tt.method)
 				c.load(10*time.Second, 100)
 				sent, served := c.counts()
@@ -176,6 +329,9 @@
 					if tt.faulty {
 						c.fault()
 					}
+					if tt.restored && i%6 == 0 {
+						c.restoreStore()
+					}
 					if tt.killAll && i%6 == 2 {
 						c.killAll()
 					}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -20,6 +20,7 @@
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/platform"
+	"poplarwind/quarantiner"
 	"poplarwind/reporter"
 	"poplarwind/storer"
 	"poplarwind/tracker"
@@ -28,16 +29,17 @@
 
 // Gateway is one daemon on the users' platform.
 type Gateway struct {
-	process    *parser.Process
-	log        *slog.Logger
-	store      *platform.Store
-	state      *tracker.State
-	tracker    *tracker.Tracker
-	table      *announcer.Table
-	announcer  *announcer.Announcer
-	forwarder  *forwarder.Forwarder
-	requestLog *reporter.RequestLogger
-	reporter   *reporter.Gateway
+	process     *parser.Process
+	log         *slog.Logger
+	store       *platform.Store
+	state       *tracker.State
+	tracker     *tracker.Tracker
+	table       *announcer.Table
+	announcer   *announcer.Announcer
+	forwarder   *forwarder.Forwarder
+	quarantiner *quarantiner.Quarantiner
+	requestLog  *reporter.RequestLogger
+	reporter    *reporter.Gateway
 	// callers serves the connections that callersListener accepts.
 	callers         *pipeliner.Server
 	callersListener net.Listener
@@ -101,12 +103,17 @@
 		g.tracker.SetInitialStart()
 	}
 	g.tracker.SetContacts(g.contacts, slices.Contains(p.Seeds(), p.Peers()))
+	quarantine := quarantiner.NewTable()
+	g.quarantiner = quarantiner.New(quarantiner.Options{
+		Table: quarantine, Peers: g.announcer, Store: g.store, Self: p.Name(), Domain: p.Domain(),
+		Live: func() []announcer.Member { return g.table.Live(time.Now()) }, Contacts: g.contacts, Era: g.storeEra, Initial: o.Bootstrap(), Log: log,
+	})
 	g.requestLog = reporter.NewRequestLogger(log)
 	ratio, extra, window := o.RetryBudget()
 	g.forwarder = forwarder.New(forwarder.Options{
 		Dialect: platform.Dialect{}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
-		Entries:     g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
+		Quarantine:  quarantine, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 	})
 	g.callers = pipeliner.New(pipeliner.Options{
@@ -116,7 +123,7 @@
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, StoreCalls: g.store.Calls, StoreEra: func() uint64 { return g.state.Position(time.Now(), tracker.Configs).Era }, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, StoreCalls: g.store.Calls, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
@@ -124,6 +131,9 @@
 	return g, g.open()
 }
 
+// storeEra returns the era of the store as of the last read.
+func (g *Gateway) storeEra() uint64 { return g.state.Position(time.Now(), tracker.Configs).Era }
+
 // contacts returns the other entries that are known, live or not, and the seeds.
 func (g *Gateway) contacts() []announcer.Member {
 	out := g.table.Peers(time.Now())
@@ -219,7 +229,7 @@
 	tasks := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.quarantiner.Run,
 	}
 	for _, f := range tasks {
 		group.Go(func() error { return f(taskCtx) })
--- a/runner/limit.go
+++ b/runner/limit.go
@@ -112,11 +112,3 @@
 	}
 	return struct{}{}, errors.Trace(g.forwarder.ApplyLimitReports(m.From, m.Reports))
 }
-
-// servePeer handles a message of another entry and returns the reply.
-func (g *Gateway) servePeer(ctx context.Context, path string, body []byte) (any, error) {
-	if path == pathLimits {
-		return g.receiveLimits(body)
-	}
-	return g.tracker.Serve(ctx, path, body)
-}
