--- a/cmd/poplarctl/why.go
+++ b/cmd/poplarctl/why.go
@@ -33,6 +33,8 @@
 	Upstreams []string  `json:"upstreams"`
 	Upstream  string    `json:"upstream"`
 	Name      string    `json:"name"`
+	// Fingerprint is the same for all copies of a request.
+	Fingerprint string `json:"fingerprint"`
 
 	text []byte
 }
@@ -104,8 +106,12 @@
 var entryStateMessages = []string{"store unreachable", "store reachable", "store lost", "store answers", "configuration in force", "configuration refused", "entry started", "entry leaving"}
 
 // mayExplain reports whether the line may name the cause of r, a line of a
-// request: it comes from the same entry, at most causeWindow earlier.
+// request: it comes from the same entry, at most causeWindow earlier, or it is about
+// a copy of the request, at any entry and however long before.
 func (l logLine) mayExplain(r logLine) bool {
+	if r.Fingerprint != "" && l.Fingerprint == r.Fingerprint && l.Request != r.Request && !l.Time.After(r.Time) && l.Message != r.Message {
+		return true
+	}
 	if l.Time.After(r.Time) || r.Time.Sub(l.Time) > causeWindow || l.Entry != r.Entry || l.Request != "" {
 		return false
 	}
