reacher, forwarder, runner: an entry finds out that it is cut off from the upstreams

Three upstreams in a row that fail make an entry try others on purpose, and ask other entries if it reaches none. Log lines, a metric and the status say so. What is sent where does not change, but for these tries.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"poplarwind/placer"
 	"poplarwind/pooler"
 	"poplarwind/quarantiner"
+	"poplarwind/reacher"
 	"poplarwind/router"
 )
 
@@ -64,6 +65,8 @@
 	// Quarantine holds the requests that are not forwarded because upstreams crash
 	// when they run them. Nil means a table of this entry alone.
 	Quarantine *quarantiner.Table
+	// Reach records which upstreams are reached. Nil means one of this entry alone.
+	Reach *reacher.Reach
 	// Refresh loads the newest configuration that is available before ctx
 	// expires. It is called when a request matches no route. Nil disables it.
 	Refresh func(ctx context.Context)
@@ -124,10 +127,18 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantiner.NewTable()
 	}
+	if o.Reach == nil {
+		o.Reach = reacher.New()
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Forwarder{options: o, pool: &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: o.Dial}, services: make(map[string]*service)}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	f := &Forwarder{options: o, services: make(map[string]*service)}
+	f.pool = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: f.dialUpstream}
+	return f
 }
 
 // Configure replaces the configuration.
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -196,7 +196,11 @@
 	r.sent += len(upstreams)
 	r.mu.Unlock()
 	for _, u := range upstreams {
-		go func() { r.deliver(x.probe(u)) }()
+		go func() {
+			cand := x.probe(u)
+			x.recordReach(cand)
+			r.deliver(cand)
+		}()
 	}
 	timer := time.NewTimer(probeTimeout)
 	defer timer.Stop()
@@ -278,7 +282,7 @@
 			pool.Discard(c)
 		}
 	}
-	return candidate{upstream: u}
+	return candidate{upstream: u, err: err}
 }
 
 // recordProbeFailure records that a load probe to an upstream failed.
--- /dev/null
+++ b/reacher/monitor.go
@@ -0,0 +1,204 @@
+package reacher
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"poplarwind/announcer"
+)
+
+// Path is the path of messages between entries.
+const Path = "/peer/reach"
+
+const (
+	// maxDials is the number of upstreams that are tried at once. If most upstreams are
+	// down, it must be unlikely that all of those tried are.
+	maxDials = 12
+	// dialTimeout bounds the opening of a connection, which takes milliseconds.
+	dialTimeout = 150 * time.Millisecond
+	// maxPeers is the number of other entries that are asked at once. Many of them may
+	// be cut off as well.
+	maxPeers = 5
+	// peerTimeout bounds the wait for a reply: the other entry may have to try upstreams.
+	peerTimeout = dialTimeout + 150*time.Millisecond
+	// recentReach is how long ago an upstream may have accepted a connection for an entry
+	// to count as not cut off without another try.
+	recentReach = time.Second
+	// suspicionInterval is the pause after a suspicion that proved wrong, and cutInterval
+	// that between the tries of an entry that is cut off.
+	suspicionInterval = 300 * time.Millisecond
+	cutInterval       = 200 * time.Millisecond
+)
+
+// Peers sends messages to other entries.
+type Peers interface {
+	// Send sends a message to a path of the member and decodes its response.
+	Send(ctx context.Context, m announcer.Member, path string, message, response any) error
+}
+
+// Options configures a Monitor. All fields but OnChange must be set.
+type Options struct {
+	Reach *Reach
+	Peers Peers
+	// Self is the name of this entry.
+	Self string
+	// Live returns the live entries, including this one.
+	Live func() []announcer.Member
+	// Upstreams returns the addresses of the upstreams of all services that should run.
+	Upstreams func() []string
+	// Dial opens a connection to an upstream and closes it.
+	Dial func(ctx context.Context, addr string) error
+	// OnChange is called when the entry is cut off, and when it no longer is.
+	OnChange func(cut bool)
+	Log      *slog.Logger
+}
+
+// Monitor finds out whether the entry is cut off.
+type Monitor struct{ options Options }
+
+// NewMonitor returns a Monitor.
+func NewMonitor(o Options) *Monitor {
+	if o.OnChange == nil {
+		o.OnChange = func(bool) {}
+	}
+	return &Monitor{options: o}
+}
+
+// answer is the reply to a question of another entry.
+type answer struct {
+	// Reached is set if the entry reaches upstreams.
+	Reached bool `json:"reached"`
+}
+
+// Run runs until ctx ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	for {
+		var suspected <-chan struct{}
+		pause := cutInterval
+		if !m.options.Reach.Cut() {
+			suspected, pause = m.options.Reach.suspected, suspicionInterval
+			select {
+			case <-suspected:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		m.check(ctx)
+		if m.options.Reach.Cut() {
+			pause = cutInterval
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// check tries upstreams. If none can be reached, it asks other entries.
+func (m *Monitor) check(ctx context.Context) {
+	reach := m.options.Reach
+	tried, reached := m.dialSome(ctx)
+	switch {
+	case tried == 0:
+	case reached > 0:
+		m.setCut(false, "upstreams_tried", tried, "reached", reached)
+	case reach.Cut():
+	default:
+		if asked, others := m.askPeers(ctx); others > 0 {
+			m.setCut(true, "upstreams_tried", tried, "entries_asked", asked, "reached_by", others)
+		} else {
+			m.options.Log.Info("no upstream reached, nor by other entries", "upstreams_tried", tried, "entries_asked", asked)
+		}
+	}
+}
+
+func (m *Monitor) setCut(cut bool, attrs ...any) {
+	if m.options.Reach.cut.Swap(cut) == cut {
+		return
+	}
+	if cut {
+		m.options.Log.Warn("upstreams out of reach", attrs...)
+	} else {
+		m.options.Log.Info("upstreams reachable", attrs...)
+	}
+	m.options.OnChange(cut)
+}
+
+// dialSome tries a few upstreams at once, chosen at random. It returns how many were tried
+// and how many accepted a connection.
+func (m *Monitor) dialSome(ctx context.Context) (tried, reached int) {
+	list := m.options.Upstreams()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list = list[:min(maxDials, len(list))]
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var accepted atomic.Int64
+	var wg sync.WaitGroup
+	for _, addr := range list {
+		wg.Go(func() {
+			err := m.options.Dial(ctx, addr)
+			m.options.Reach.RecordDial(time.Now(), addr, err == nil)
+			if err == nil {
+				accepted.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return len(list), int(accepted.Load())
+}
+
+// askPeers asks a few other entries at once, chosen at random, whether they reach
+// upstreams. It returns how many were asked and how many do.
+func (m *Monitor) askPeers(ctx context.Context) (asked, reached int) {
+	var others []announcer.Member
+	for _, p := range m.options.Live() {
+		if p.Name != m.options.Self {
+			others = append(others, p)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(maxPeers, len(others))]
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var yes atomic.Int64
+	var wg sync.WaitGroup
+	for _, p := range others {
+		wg.Go(func() {
+			var reply answer
+			if err := m.options.Peers.Send(ctx, p, Path, struct{}{}, &reply); err != nil {
+				m.options.Log.Debug("peer not asked for its reach", "to", p.Name, "error", err.Error())
+			}
+			if reply.Reached {
+				yes.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return len(others), int(yes.Load())
+}
+
+// Serve handles a question of another entry and returns the reply. A malformed message
+// has an error that satisfies errors.Is(err, errors.NotValid).
+func (m *Monitor) Serve(ctx context.Context, body []byte) (any, error) {
+	var question struct{}
+	if err := json.Unmarshal(body, &question); err != nil {
+		return nil, errors.WithType(err, errors.NotValid)
+	}
+	reach := m.options.Reach
+	if reach.Cut() {
+		return answer{}, nil
+	}
+	if reach.reachedSince(time.Now()) < recentReach {
+		return answer{Reached: true}, nil
+	}
+	_, reached := m.dialSome(ctx)
+	return answer{Reached: reached > 0}, nil
+}
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -21,6 +21,7 @@
 	"poplarwind/announcer"
 	"poplarwind/forwarder"
 	"poplarwind/quarantiner"
+	"poplarwind/reacher"
 	"poplarwind/tracker"
 )
 
@@ -36,6 +37,8 @@
 	Forwarder *forwarder.Forwarder
 	// Quarantine holds the requests during which upstreams crashed.
 	Quarantine *quarantiner.Table
+	// Reach is whether the entry is cut off from the upstreams.
+	Reach *reacher.Reach
 	// StoreEra returns the era of the store as of the last read.
 	StoreEra func() uint64
 	// StoreCalls returns the number of calls made to the store.
@@ -115,6 +118,12 @@
 			}
 		}},
 		{"poplarwind.quarantine.requests", "Requests in quarantine because upstreams crash when they run them.", g.scalar(func() float64 { return float64(g.quarantined()) })},
+		{"poplarwind.upstreams.cut", "1 while this entry is cut off from the upstreams of all services.", g.scalar(func() float64 {
+			if g.sources.Reach.Cut() {
+				return 1
+			}
+			return 0
+		})},
 		{"poplarwind.upstream.limit", "Rate limit in requests a second that an upstream states, by upstream.", g.limitedUpstreams(func(u forwarder.UpstreamStatus) float64 { return *u.RateLimit })},
 		{"poplarwind.upstream.limit.sent", "Requests sent to an upstream since it states a rate limit, by upstream.", g.limitedUpstreams(func(u forwarder.UpstreamStatus) float64 { return float64(u.Sent) })},
 	} {
@@ -183,8 +192,10 @@
 
 // GatewayStatus is the state of an entry on the users' platform.
 type GatewayStatus struct {
-	Entry   string        `json:"entry"`
-	Ready   bool          `json:"ready"`
+	Entry string `json:"entry"`
+	Ready bool   `json:"ready"`
+	// Cut is set while the entry is cut off from the upstreams of all services.
+	Cut     bool          `json:"cut,omitempty"`
 	Uptime  time.Duration `json:"uptime_ns"`
 	Version int64         `json:"version"`
 	// Positions holds the revision and the age of the local replica of the store,
@@ -206,7 +217,7 @@
 	s := &g.sources
 	now := time.Now()
 	out := GatewayStatus{
-		Entry: s.Name, Ready: s.Ready(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
+		Entry: s.Name, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
 		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(),
 	}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -21,6 +21,7 @@
 	"poplarwind/placer"
 	"poplarwind/platform"
 	"poplarwind/quarantiner"
+	"poplarwind/reacher"
 	"poplarwind/reporter"
 	"poplarwind/storer"
 	"poplarwind/tracker"
@@ -38,6 +39,8 @@
 	announcer   *announcer.Announcer
 	forwarder   *forwarder.Forwarder
 	quarantiner *quarantiner.Quarantiner
+	reach       *reacher.Reach
+	monitor     *reacher.Monitor
 	requestLog  *reporter.RequestLogger
 	reporter    *reporter.Gateway
 	// callers serves the connections that callersListener accepts.
@@ -84,7 +87,7 @@
 func NewGateway(p *parser.Process, log *slog.Logger, dropped func() int64) (*Gateway, error) {
 	start := time.Now()
 	o := p.Gateway()
-	g := &Gateway{process: p, log: log, state: &tracker.State{}, store: platform.NewStore(p.Platform())}
+	g := &Gateway{process: p, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform())}
 	g.expiry.Hold = time.Duration(expiryHoldFraction * float64(o.UpstreamDrainTimeout()))
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
@@ -116,6 +119,10 @@
 		Quarantine:  quarantine, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 	})
+	g.monitor = reacher.NewMonitor(reacher.Options{
+		Reach: g.reach, Peers: g.announcer, Self: p.Name(), Live: func() []announcer.Member { return g.table.Live(time.Now()) },
+		Upstreams: g.forwarder.Upstreams, Dial: g.forwarder.TryUpstream, Log: log,
+	})
 	g.callers = pipeliner.New(pipeliner.Options{
 		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), MaxConns: p.MaxConns(),
 		IdleTimeout: g.callerIdleTimeout, Log: log,
@@ -123,7 +130,7 @@
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, StoreCalls: g.store.Calls, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
@@ -229,7 +236,7 @@
 	tasks := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.quarantiner.Run,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.quarantiner.Run, g.monitor.Run,
 	}
 	for _, f := range tasks {
 		group.Go(func() error { return f(taskCtx) })
--- a/runner/peer.go
+++ b/runner/peer.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"poplarwind/quarantiner"
+	"poplarwind/reacher"
 )
 
 // servePeer handles a message of another entry and returns the reply.
@@ -13,6 +14,8 @@
 		return g.receiveLimits(body)
 	case quarantiner.Path:
 		return g.quarantiner.Serve(body)
+	case reacher.Path:
+		return g.monitor.Serve(ctx, body)
 	}
 	return g.tracker.Serve(ctx, path, body)
 }
