runner: failing test of entries that are partitioned from all upstreams

6 to 40 entries in virtual time, some of which lose the path to all upstreams: connections are reset, hang, or live on while new ones are refused.

--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -19,6 +19,7 @@
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/quarantiner"
+	"poplarwind/reacher"
 	"poplarwind/router"
 )
 
@@ -79,6 +80,8 @@
 	ended    bool
 	crashing crashingRequests
 	store    clusterStore
+	// arrived counts the arrivals of each request at upstreams.
+	arrived map[string]int
 }
 
 // clusterNode is one entry of the cluster.
@@ -89,6 +92,13 @@
 	quarantiner  *quarantiner.Quarantiner
 	view         atomic.Pointer[membership]
 	load         rateEstimator
+	monitor      *reacher.Monitor
+	reach        *reacher.Reach
+	callers      *pipeliner.Server
+	// partition is how the entry is partitioned from all upstreams, and toUpstreams are
+	// its connections to them.
+	partition   partition
+	toUpstreams []net.Conn
 	// gone, frozen and cut are the faults of the entry. Until excused, it may have
 	// been frozen or cut off in the last clusterStableTime.
 	gone, frozen, cut bool
@@ -104,7 +114,7 @@
 )
 
 func newCluster(t *testing.T, seed uint64, upstreams int) *cluster {
-	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 24)), upstream: make(map[string]*clusterUpstream)}
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 24)), upstream: make(map[string]*clusterUpstream), arrived: make(map[string]int)}
 	var err error
 	c.table, err = router.NewTable(router.Spec{
 		Version: 1,
@@ -139,13 +149,16 @@
 		n.table.MergeDescriptions(now, false, self)
 	}
 	quarantine := c.addQuarantiner(n)
+	n.reach = reacher.New()
 	n.forwarder = forwarder.New(forwarder.Options{
 		Dialect: clusterDialect{}, Domain: n.domain, ProbeRate: 60, RetryBudget: forwarder.RetryBudget{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second},
 		Entries:       func(service string) forwarder.EntrySet { return n.membership().entrySet(n.name, service) },
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return n.membership().limitFraction(n.name, u, rate) },
 		Quarantine:    quarantine,
-		Dial:          func(_ context.Context, addr string) (net.Conn, error) { return c.dial(n, addr) },
+		Reach:         n.reach,
+		Dial:          func(ctx context.Context, addr string) (net.Conn, error) { return c.dial(ctx, n, addr) },
 	})
+	c.addMonitor(n)
 	n.forwarder.Configure(c.table)
 	for i := range len(c.upstream) {
 		n.forwarder.PutUpstream(c.spec(i))
@@ -170,16 +183,26 @@
 	return view
 }
 
-// dial connects an entry to an upstream.
-func (c *cluster) dial(n *clusterNode, addr string) (net.Conn, error) {
+// dial connects an entry to an upstream or to another entry.
+func (c *cluster) dial(ctx context.Context, n *clusterNode, addr string) (net.Conn, error) {
+	c.mu.Lock()
+	u, hangs := c.upstream[addr], n.partition == partitionHangs
+	c.mu.Unlock()
+	if u == nil {
+		return c.dialEntry(n, addr)
+	}
+	if hangs {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	u := c.upstream[addr]
-	if c.ended || u.down {
+	if c.ended || u.down || n.partition != reachable {
 		return nil, net.ErrClosed
 	}
 	client, server := net.Pipe()
 	u.conns = append(u.conns, server)
+	n.toUpstreams = append(n.toUpstreams, client)
 	c.conns = append(c.conns, client, server)
 	go c.serve(server, n, addr)
 	return client, nil
@@ -195,11 +218,13 @@
 		if err := req.Read(reader); err != nil {
 			return
 		}
+		c.awaitPath(n)
 		limit := ""
 		probe := string(req.Header.RequestURI()) == "/health"
 		c.mu.Lock()
 		if !probe {
 			u.arrivals = append(u.arrivals, clusterArrival{at: time.Now(), entry: n.name})
+			c.arrived[string(req.Header.Peek("Id"))]++
 		}
 		c.mu.Unlock()
 		if !probe {
@@ -252,7 +277,7 @@
 			continue
 		}
 		n.table.Tick(time.Now())
-		n.table.SetLoad(true, n.load.update(time.Now(), n.forwarder.Arrived()))
+		n.table.SetLoad(n.serving(), n.load.update(time.Now(), n.forwarder.Arrived()))
 		n.forwarder.UpdateLimits()
 		for _, p := range peers {
 			if p != n && c.reachable(n, p) {
--- a/runner/crash_cluster_test.go
+++ b/runner/crash_cluster_test.go
@@ -14,6 +14,7 @@
 
 	"poplarwind/announcer"
 	"poplarwind/quarantiner"
+	"poplarwind/reacher"
 )
 
 const (
@@ -94,8 +95,8 @@
 	return out, 0, nil
 }
 
-// Send implements quarantiner.Peers.
-func (c clusterClient) Send(_ context.Context, m announcer.Member, _ string, message, response any) error {
+// Send implements quarantiner.Peers and reacher.Peers.
+func (c clusterClient) Send(ctx context.Context, m announcer.Member, path string, message, response any) error {
 	time.Sleep(time.Millisecond)
 	c.cluster.mu.Lock()
 	var to *clusterNode
@@ -116,7 +117,13 @@
 	if err != nil {
 		return err
 	}
-	reply, err := to.quarantiner.Serve(body)
+	var reply any
+	switch path {
+	case quarantiner.Path:
+		reply, err = to.quarantiner.Serve(body)
+	case reacher.Path:
+		reply, err = to.monitor.Serve(ctx, body)
+	}
 	if err != nil {
 		return err
 	}
