forwarder, runner: an entry that is cut off from the upstreams relays requests

Cause: an entry had one way to serve a request, and was ready without a path to any upstream. Ruled out: callers that are misled by old answers of the directory alone (the entry was named all the time), and ejections that outlast the partition (first tries after it are served in the test).

Change: while an entry is cut off, as reacher finds out, it sends requests to another entry as a caller would, and passes on the answer. It asks two entries at once before, since some may be frozen, gone or cut off as well. Attempts so far are stated, a relayed request is not relayed again, and one that must not run twice and got no answer ends with 502. The directory and the assignment of services leave the entry out; it stays ready for the platform.

--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -18,6 +18,9 @@
 	// SetTarget addresses a request to one upstream and sets the time left until
 	// its deadline.
 	SetTarget(h *fasthttp.RequestHeader, upstream string, left time.Duration)
+	// SetTimeout sets the time left until the deadline of a request that is sent to
+	// another entry.
+	SetTimeout(h *fasthttp.RequestHeader, left time.Duration)
 	// ParseResponse parses the protocol headers of an upstream's response,
 	// received at now.
 	ParseResponse(h *fasthttp.ResponseHeader, now time.Time) ResponseInfo
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -24,6 +24,7 @@
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
 	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
 	errQuarantined  = errors.ConstError("upstreams crash when they run this request")
+	errCutOff       = errors.ConstError("upstreams are out of reach, and no other entry took the request")
 	errNoUpstream   = errors.ConstError("service has no upstream")
 	errDisconnected = errors.ConstError("caller left")
 	errTimeout      = errors.ConstError("time limit passed")
@@ -61,6 +62,12 @@
 	unreachable []*placer.Upstream
 	// mayHaveRun reports whether an upstream may have run the request.
 	mayHaveRun bool
+	// relayed is set if another entry relays the request, after it was sent to as many
+	// upstreams as earlier says.
+	relayed bool
+	earlier int
+	// relayedTo holds the addresses of the entries that the request was relayed to.
+	relayedTo []string
 	// print is the fingerprint of the request, valid if hasPrint is set.
 	print    quarantiner.Fingerprint
 	hasPrint bool
@@ -106,7 +113,13 @@
 // run places and sends the request until it has a final response or fails.
 func (x *exchange) run() result {
 	for {
+		if x.cutOff() {
+			return x.relay()
+		}
 		cand, err := x.place()
+		if errors.Is(err, errCutOff) {
+			continue
+		}
 		if err != nil {
 			return x.fail(err)
 		}
@@ -143,7 +156,7 @@
 	if x.quarantined() {
 		return errQuarantined
 	}
-	if len(x.attempted) >= x.route.Attempts {
+	if x.attempts() >= x.route.Attempts {
 		return errNoRetry
 	}
 	x.service.mu.Lock()
@@ -235,6 +248,9 @@
 		if cand.attempt != nil {
 			return cand, nil
 		}
+		if x.cutOff() {
+			return candidate{}, errCutOff
+		}
 	}
 }
 
@@ -284,7 +300,10 @@
 			disconnected, err = nil, errDisconnected
 		case now := <-timer.C:
 			timer.Reset(deadlineCheckInterval)
-			if x.cannotMeetDeadline(now) {
+			switch {
+			case x.cutOff():
+				err = errCutOff
+			case x.cannotMeetDeadline(now):
 				err = errNoSlot
 			}
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,10 @@
 	Quarantine *quarantiner.Table
 	// Reach records which upstreams are reached. Nil means one of this entry alone.
 	Reach *reacher.Reach
+	// Relays returns the addresses of other entries that reach upstreams, in the order
+	// in which they are to be tried for a request for a service while this entry does
+	// not. Nil means that there are none.
+	Relays func(service string) []string
 	// Refresh loads the newest configuration that is available before ctx
 	// expires. It is called when a request matches no route. Nil disables it.
 	Refresh func(ctx context.Context)
@@ -94,6 +98,8 @@
 type Forwarder struct {
 	options Options
 	pool    *pooler.Pool
+	// entries holds the connections to other entries.
+	entries *pooler.Pool
 	table   atomic.Pointer[router.Table]
 	// arrived counts received requests.
 	arrived atomic.Int64
@@ -137,6 +143,7 @@
 		o.Dial = dialTCP
 	}
 	f := &Forwarder{options: o, services: make(map[string]*service)}
+	f.entries = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: o.Dial}
 	f.pool = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: f.dialUpstream}
 	return f
 }
@@ -157,8 +164,11 @@
 // that callers can retry at once at another entry.
 func (f *Forwarder) RejectNew() { f.closed.Store(true) }
 
-// Pool returns the pool of connections to upstreams.
-func (f *Forwarder) Pool() *pooler.Pool { return f.pool }
+// Trim closes connections to upstreams and other entries that have been idle for too long.
+func (f *Forwarder) Trim() {
+	f.pool.Trim()
+	f.entries.Trim()
+}
 
 // PutUpstream adds or updates an upstream. It is removed from any other service.
 func (f *Forwarder) PutUpstream(u placer.Spec) {
@@ -225,6 +235,9 @@
 
 // Handle implements pipeliner.Handler: it serves one request of a caller.
 func (f *Forwarder) Handle(ctx context.Context, c *pipeliner.Call) {
+	if f.answerQuery(c) {
+		return
+	}
 	f.arrived.Add(1)
 	f.running.Add(1)
 	defer f.running.Add(-1)
@@ -266,6 +279,7 @@
 		return x, errBodyTooLarge
 	}
 	x.setDeadlines()
+	x.parseRelayed()
 	name := x.route.NextService()
 	x.service = f.service(name)
 	if svc := t.Service(name); svc != nil {
@@ -274,7 +288,7 @@
 	if x.quarantined() {
 		return x, errQuarantined
 	}
-	x.serviceTime = x.service.admit(x.route.Name, time.Now())
+	x.serviceTime = x.service.admit(x.route.Name, !x.relayed, time.Now())
 	return x, nil
 }
 
--- /dev/null
+++ b/forwarder/relay.go
@@ -0,0 +1,252 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/sanitizer"
+	"poplarwind/pipeliner"
+	"poplarwind/pooler"
+)
+
+// headerRelayed is the header of a request that another entry relays, because it is cut
+// off from the upstreams. Its value is the number of upstreams that the request was sent
+// to before. It is not forwarded to upstreams.
+const headerRelayed = "Poplar-Relayed"
+
+// headerRelayQuery is the header of a question of another entry whether this one takes
+// requests that are relayed. The response is 204 if it does.
+const headerRelayQuery = "Poplar-Relay-Query"
+
+const (
+	// maxRelays is the number of entries that a request is sent to, one after the other.
+	maxRelays = 3
+	// parallelQueries is the number of entries that are asked at once before a request
+	// is relayed, since some may be frozen, killed or cut off as well, and queryTimeout
+	// bounds the wait for the first reply.
+	parallelQueries = 2
+	queryTimeout    = 100 * time.Millisecond
+	// maxReplyBody is the maximum size of the body of a reply in bytes.
+	maxReplyBody = 1 << 10
+	// relayConns is the maximum number of connections from this entry to another one.
+	relayConns = 256
+)
+
+// parseRelayed sets relayed and earlier from the request. A malformed value counts as no
+// earlier attempt: callers may send anything.
+func (x *exchange) parseRelayed() {
+	v := x.call.Request.Header.Peek(headerRelayed)
+	if len(v) == 0 {
+		return
+	}
+	n, err := strconv.Atoi(string(v))
+	if err != nil || n < 0 {
+		x.forwarder.options.Log.Debug("header of a relayed request can't be parsed", "request", string(x.id), "value", string(v))
+		n = 0
+	}
+	x.relayed, x.earlier = true, n
+}
+
+// attempts returns the number of upstreams that the request was sent to, by any entry.
+func (x *exchange) attempts() int { return x.earlier + len(x.attempted) }
+
+// cutOff reports whether this entry can't reach upstreams, so that the request must be
+// relayed.
+func (x *exchange) cutOff() bool { return x.forwarder.options.Reach.Cut() }
+
+// relay sends the request to another entry, which reaches upstreams, and returns its
+// response. If an entry states that the request did not run, or gives no response to an
+// idempotent one, the next is tried.
+func (x *exchange) relay() result {
+	if x.relayed || x.forwarder.options.Relays == nil {
+		return x.fail(errCutOff)
+	}
+	addrs := x.forwarder.options.Relays(x.service.name)
+	var rejection *fasthttp.Response
+	for range maxRelays {
+		var c *pooler.Conn
+		if c, addrs = x.queryEntries(addrs); c == nil {
+			break
+		}
+		o := x.relayTo(c)
+		if o.resp != nil && !o.notRun {
+			x.releaseFallback()
+			return result{resp: o.resp}
+		}
+		if o.resp != nil {
+			if rejection != nil {
+				fasthttp.ReleaseResponse(rejection)
+			}
+			rejection = o.resp
+		}
+		if o.resp == nil && o.sent && !x.mayRepeat() {
+			break
+		}
+	}
+	switch {
+	case rejection != nil && !x.mayHaveRun:
+		return result{resp: rejection}
+	case x.caller.Err() != nil:
+		return x.fail(errDisconnected)
+	default:
+		return x.fail(errCutOff)
+	}
+}
+
+// mayRepeat records that the request may have run at an upstream that another entry sent
+// it to, and reports whether it may be sent again. A retry is then taken from the budget.
+func (x *exchange) mayRepeat() bool {
+	x.mayHaveRun = true
+	x.earlier++
+	if !x.route.Idempotent || x.attempts() >= x.route.Attempts || x.caller.Err() != nil {
+		return false
+	}
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	return x.hasTime(time.Now()) && x.service.retryBudget.Spend(time.Now())
+}
+
+// queryEntries asks entries whether they take relayed requests, a few at once, and returns
+// a connection to the first that does and the addresses of those not asked, nil if none
+// does.
+func (x *exchange) queryEntries(addrs []string) (*pooler.Conn, []string) {
+	for len(addrs) > 0 && x.caller.Err() == nil && time.Now().Before(x.deadline) {
+		n := min(parallelQueries, len(addrs))
+		if c := x.queryAny(addrs[:n]); c != nil {
+			return c, addrs[n:]
+		}
+		addrs = addrs[n:]
+	}
+	return nil, nil
+}
+
+// queryAny asks entries at once and returns a connection to the first that takes relayed
+// requests, nil if none does.
+func (x *exchange) queryAny(addrs []string) *pooler.Conn {
+	ctx, cancel := context.WithTimeout(x.caller, queryTimeout)
+	entries, fresh := x.forwarder.entries, !x.route.Idempotent
+	replies := make(chan *pooler.Conn)
+	for _, addr := range addrs {
+		go func() {
+			c := x.forwarder.queryEntry(ctx, addr, fresh)
+			select {
+			case replies <- c:
+			case <-ctx.Done():
+				if c != nil {
+					entries.Put(c)
+				}
+			}
+		}()
+	}
+	defer cancel()
+	for range addrs {
+		select {
+		case c := <-replies:
+			if c != nil {
+				return c
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// queryEntry asks one entry and returns the connection to it, nil if it does not take
+// relayed requests.
+func (f *Forwarder) queryEntry(ctx context.Context, addr string, fresh bool) *pooler.Conn {
+	c, err := f.entries.Get(ctx, addr, relayConns, fresh)
+	if err != nil {
+		f.options.Log.Debug("cannot connect to entry", "addr", addr, "error", err.Error())
+		return nil
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("/")
+	req.Header.SetHost(addr)
+	req.Header.Set(headerRelayQuery, "1")
+	deadline, _ := ctx.Deadline()
+	c.SetDeadline(deadline)
+	if err = c.Send(req); err == nil {
+		err = c.Receive(resp, false, maxReplyBody)
+	}
+	if err != nil || resp.StatusCode() != fasthttp.StatusNoContent || resp.ConnectionClose() || !c.Clean() {
+		f.entries.Discard(c)
+		return nil
+	}
+	return c
+}
+
+// answerQuery answers a question of another entry. It reports false if the request is none.
+func (f *Forwarder) answerQuery(c *pipeliner.Call) bool {
+	if len(c.Request.Header.Peek(headerRelayQuery)) == 0 {
+		return false
+	}
+	c.Response.SetStatusCode(fasthttp.StatusNoContent)
+	if f.closed.Load() || f.options.Reach.Cut() || f.table.Load() == nil {
+		c.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	return true
+}
+
+// relayTo sends the request over a connection to another entry.
+func (x *exchange) relayTo(c *pooler.Conn) outcome {
+	f := x.forwarder
+	o := outcome{}
+	x.relayedTo = append(x.relayedTo, c.Addr())
+	c.Reset()
+	c.SetDeadline(x.deadline)
+	stop := x.abortOnDisconnect(c)
+	if o.err = x.writeRelayed(c); o.err == nil {
+		o.resp, o.err = x.readRelayed(c)
+	}
+	o.disconnected = !stop()
+	o.sent = c.Written()
+	if o.resp == nil || o.disconnected || o.resp.ConnectionClose() || !c.Clean() {
+		f.entries.Discard(c)
+	} else {
+		c.SetMaxIdle(keepAliveTimeout(o.resp.Header.Peek("Keep-Alive")))
+		f.entries.Put(c)
+	}
+	if o.resp != nil {
+		o.notRun = o.resp.StatusCode() == fasthttp.StatusServiceUnavailable && !f.options.Dialect.ParseResponse(&o.resp.Header, time.Now()).Stamped
+	}
+	return o
+}
+
+// writeRelayed sends the request to another entry.
+func (x *exchange) writeRelayed(c *pooler.Conn) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	x.call.Request.Header.CopyTo(&req.Header)
+	sanitizer.StripHopByHop(&req.Header)
+	req.Header.ResetConnectionClose()
+	req.UseHostHeader = true
+	req.Header.Set(headerRelayed, strconv.Itoa(x.attempts()))
+	x.forwarder.options.Dialect.SetTimeout(&req.Header, time.Until(x.deadline))
+	req.SetBodyRaw(x.call.Request.Body())
+	return c.Send(req)
+}
+
+// readRelayed reads the response of another entry: that of an upstream to this request, or
+// its own, which has no ID and is no success.
+func (x *exchange) readRelayed(c *pooler.Conn) (*fasthttp.Response, error) {
+	resp := fasthttp.AcquireResponse()
+	err := c.Receive(resp, x.call.Request.Header.IsHead(), x.forwarder.options.MaxResponseBody)
+	if err == nil {
+		info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
+		own := len(info.ID) == 0 && !info.Stamped && resp.StatusCode() >= fasthttp.StatusBadRequest
+		if own || bytes.Equal(info.ID, x.id) && x.valid(resp, info) {
+			return resp, nil
+		}
+		err = errors.Trace(errIncomplete)
+	}
+	fasthttp.ReleaseResponse(resp)
+	return nil, err
+}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -92,6 +92,8 @@
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
 	Rank                          int
+	// RelayedTo are the addresses of the entries that the request was relayed to.
+	RelayedTo []string
 	// Fingerprint identifies the copies of a request in quarantine, empty for others.
 	Fingerprint string
 	// Loads are the last reported loads of Upstreams at the time of the
@@ -136,7 +138,7 @@
 	if x.service == nil {
 		return r
 	}
-	r.Service = x.service.name
+	r.Service, r.RelayedTo = x.service.name, x.relayedTo
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	for _, u := range x.attempted {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -121,7 +121,7 @@
 // respond, and a retry could be taken from the budget. Some upstreams never respond
 // to requests that they have no room for.
 func (x *exchange) overdue(c *pooler.Conn, a *placer.Attempt) bool {
-	if !x.route.Idempotent || len(x.attempted) >= x.route.Attempts {
+	if !x.route.Idempotent || x.attempts() >= x.route.Attempts {
 		return false
 	}
 	s := x.service
@@ -176,6 +176,7 @@
 	sanitizer.StripHopByHop(&req.Header)
 	req.Header.ResetConnectionClose()
 	req.UseHostHeader = true
+	req.Header.Del(headerRelayed)
 	x.forwarder.options.Dialect.SetTarget(&req.Header, u.ID(), time.Until(x.deadline))
 	req.SetBodyRaw(x.call.Request.Body())
 	return c.Send(req)
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -72,11 +72,14 @@
 	s.fleet.Remove(id)
 }
 
-// admit counts a request of a route. It returns the service time of the route.
-func (s *service) admit(route string, now time.Time) *placer.ServiceTime {
+// admit returns the service time of a route, a request of which is counted for the retry
+// budget if count is set.
+func (s *service) admit(route string, count bool, now time.Time) *placer.ServiceTime {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryBudget.Count(now)
+	if count {
+		s.retryBudget.Count(now)
+	}
 	return s.serviceTime(route)
 }
 
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -33,6 +33,10 @@
 	h.Set("Left", left.String())
 }
 
+func (testDialect) SetTimeout(h *fasthttp.RequestHeader, left time.Duration) {
+	h.Set("Wait", left.String())
+}
+
 func (testDialect) ParseResponse(h *fasthttp.ResponseHeader, now time.Time) ResponseInfo {
 	info := ResponseInfo{
 		ID: h.Peek("Id"), Instance: string(h.Peek("Instance")), Stamped: len(h.Peek("Stamp")) > 0,
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -69,6 +69,9 @@
 	return n, err
 }
 
+// Addr returns the address of the server.
+func (c *Conn) Addr() string { return c.addr }
+
 // Written reports whether any byte of this exchange may have been sent.
 func (c *Conn) Written() bool { return c.written.Load() > 0 }
 
--- a/reacher/monitor.go
+++ b/reacher/monitor.go
@@ -121,7 +121,7 @@
 }
 
 func (m *Monitor) setCut(cut bool, attrs ...any) {
-	if m.options.Reach.cut.Swap(cut) == cut {
+	if !m.options.Reach.SetCut(cut) {
 		return
 	}
 	if cut {
--- a/reacher/reach.go
+++ b/reacher/reach.go
@@ -61,6 +61,9 @@
 // Cut reports whether the entry is cut off from the upstreams of all services.
 func (r *Reach) Cut() bool { return r.cut.Load() }
 
+// SetCut sets whether the entry is cut off, and reports whether this has changed.
+func (r *Reach) SetCut(cut bool) bool { return r.cut.Swap(cut) != cut }
+
 // RecordDial records whether an upstream accepted a connection.
 func (r *Reach) RecordDial(now time.Time, addr string, ok bool) {
 	r.mu.Lock()
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -198,6 +198,10 @@
 	return !g.draining.Load() && g.forwarder.Table() != nil && g.state.Position(time.Now(), tracker.Upstreams).AsOf > 0
 }
 
+// serving reports whether callers are to use this entry: it is ready, and reaches upstreams
+// itself.
+func (g *Gateway) serving() bool { return g.ready() && !g.reach.Cut() }
+
 // refreshConfig reads the configuration from the store and applies it, unless the
 // local cache is recent enough.
 func (g *Gateway) refreshConfig(ctx context.Context) {
@@ -262,7 +266,7 @@
 func (g *Gateway) trim(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleeper.Sleep(ctx, trimInterval)
-		g.forwarder.Pool().Trim()
+		g.forwarder.Trim()
 	}
 	return nil
 }
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -126,7 +126,7 @@
 	live := slices.Clone(g.table.Live(now))
 	for i := range live {
 		if live[i].Name == g.process.Name() {
-			live[i].Ready = g.ready()
+			live[i].Ready = g.serving()
 		}
 	}
 	s = newMembership(now, g.process.Name(), live, s)
@@ -253,7 +253,7 @@
 	for ctx.Err() == nil {
 		g.forwarder.UpdateLimits()
 		ready, interval := g.ready(), g.process.HeartbeatInterval()
-		g.table.SetLoad(ready, math.Round(arrivals.update(time.Now(), g.forwarder.Arrived())))
+		g.table.SetLoad(g.serving(), math.Round(arrivals.update(time.Now(), g.forwarder.Arrived())))
 		if !ready {
 			interval = readyPollInterval
 		}
