runner: the forwarder has the reach that the monitor checks

The daemon did not pass its record of reached upstreams, nor the entries to relay to, to the forwarder, which made a record of its own; so no failure reached the monitor. The test in virtual time assembles entries itself. TestGatewayRelaysWhileCutOff assembles daemons: 0 requests at the other entry before, 1 wanted; it passes now.

--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -116,7 +116,7 @@
 	g.forwarder = forwarder.New(forwarder.Options{
 		Dialect: platform.Dialect{}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
-		Quarantine:  quarantine, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
+		Quarantine:  quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 	})
 	g.monitor = reacher.NewMonitor(reacher.Options{
