forwarder, pooler: a rejection that names no request may be an earlier one

A faulty upstream may write an earlier rejection once more on a kept connection. Those with the ID of an earlier request were skipped already.

A connection on which a request, or a load probe, was rejected without being named is not reused, and a second such rejection on it is no proof: the request may have run. TestEarlierRejectionWrittenAgain failed without this too, with requests reported as not run that had run.

--- a/forwarder/fault_test.go
+++ b/forwarder/fault_test.go
@@ -189,3 +189,24 @@
 		})
 	}
 }
+
+// TestEarlierRejectionWrittenAgain has each upstream write a rejection again, when the next
+// request arrives on the same connection. That request runs: it must not be reported as not
+// run, nor run at another upstream.
+func TestEarlierRejectionWrittenAgain(t *testing.T) {
+	for _, path := range []string{"/read/1", "/order/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			tb := &testbed{runs: map[string]int{}, plan: []fault{shedTwice, healthy, shedTwice, healthy, shedTwice, healthy}}
+			f := tb.newEntry(t, 1)
+			for i := range 6 {
+				id := fmt.Sprint("r", i)
+				resp := send(f, path, id)
+				time.Sleep(10 * time.Millisecond)
+				checkResponse(t, tb, path, id, resp.StatusCode(), string(resp.Body()), string(resp.Header.Peek("Id")))
+			}
+			time.Sleep(5 * time.Second)
+			tb.close()
+			time.Sleep(2 * time.Minute)
+		})
+	}
+}
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -356,6 +356,9 @@
 	}
 	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
 	usable := !resp.ConnectionClose() && len(info.ID) == 0 && !info.Stamped && c.Clean()
+	if info.NotRun {
+		c.SetRejected()
+	}
 	// The ID belongs to the response, which is released.
 	info.ID = nil
 	return info, usable
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -200,6 +200,14 @@
 		if len(info.ID) > 0 && !bytes.Equal(info.ID, x.id) {
 			continue
 		}
+		// A rejection that names no request may be an earlier one, written again.
+		unnamed := info.NotRun && len(info.ID) == 0
+		if unnamed && c.Rejected() {
+			break
+		}
+		if unnamed {
+			c.SetRejected()
+		}
 		if x.valid(resp, info) {
 			return resp, nil
 		}
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -74,13 +75,19 @@
 	excess       fault = "bytes after the response"
 	staleFirst   fault = "response to an earlier request first"
 	closeAfter   fault = "closes after the response"
+	// shedTwice rejects without an ID, and writes the rejection again when the next
+	// request arrives on the connection, before it runs that.
+	shedTwice fault = "writes an earlier rejection again"
 )
 
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, shed, misdirected,
-	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter,
+	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
 }
 
+// rejection is a response that states that its request did not run, without its ID.
+const rejection = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
 // testbed is a set of upstreams that inject planned faults.
 type testbed struct {
 	mu sync.Mutex
@@ -138,6 +145,7 @@
 func (tb *testbed) serve(c net.Conn, addr string) {
 	defer c.Close()
 	r := bufio.NewReader(c)
+	again := false
 	for {
 		var req fasthttp.Request
 		if _, err := r.Peek(1); err != nil {
@@ -165,6 +173,13 @@
 			}
 			continue
 		}
+		if again {
+			again = false
+			if _, err := io.WriteString(c, rejection); err != nil {
+				return
+			}
+		}
+		again = f == shedTwice
 		if !tb.respond(c, f, string(req.Header.Peek("Id"))) {
 			return
 		}
@@ -186,6 +201,8 @@
 		return false
 	case shed:
 		return write("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case shedTwice:
+		return write(rejection)
 	case misdirected:
 		return write("HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	}
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -49,6 +49,9 @@
 	idleSince time.Time
 	maxIdle   time.Duration
 	addr      string
+	// rejected is set when the server has rejected a request on the connection without
+	// naming it: it may write the rejection once more, ahead of another response.
+	rejected bool
 }
 
 // Read implements io.Reader for the read buffer. It returns ErrTooLarge when a response
@@ -69,6 +72,13 @@
 	return n, err
 }
 
+// SetRejected records that the server has rejected a request on the connection without
+// naming it. The connection is then not reused.
+func (c *Conn) SetRejected() { c.rejected = true }
+
+// Rejected reports whether SetRejected was called.
+func (c *Conn) Rejected() bool { return c.rejected }
+
 // Addr returns the address of the server.
 func (c *Conn) Addr() string { return c.addr }
 
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -161,9 +161,10 @@
 }
 
 // Put returns a connection to the pool after an exchange that ended cleanly. It
-// closes a connection with unread or unsent bytes.
+// closes a connection with unread or unsent bytes, and one on which a request was rejected
+// without being named.
 func (p *Pool) Put(c *Conn) {
-	if c.read.Buffered() > 0 || c.write.Buffered() > 0 {
+	if c.read.Buffered() > 0 || c.write.Buffered() > 0 || c.rejected {
 		p.Discard(c)
 		return
 	}
