--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -204,6 +204,14 @@
 	return !now.Add(x.minServiceTime()).After(x.deadline)
 }
 
+// outlasts reports whether the response may come later than t: it takes longer than usual
+// until then, and the caller would wait for it.
+func (x *exchange) outlasts(t time.Time) bool {
+	x.service.mu.Lock()
+	defer x.service.mu.Unlock()
+	return x.deadline.After(t) && time.Now().Add(overdueFactor*x.serviceTime.Average()).After(t)
+}
+
 // minServiceFraction is the fraction of the average service time below which a
 // response is unlikely.
 const minServiceFraction = 0.8
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -107,6 +107,8 @@
 	running atomic.Int64
 	// closed reports whether new requests are rejected.
 	closed atomic.Bool
+	// end is when the entry stops, nil if no stop is planned.
+	end atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// services holds each service that had an upstream or a routed request, by
@@ -164,6 +166,10 @@
 // that callers can retry at once at another entry.
 func (f *Forwarder) RejectNew() { f.closed.Store(true) }
 
+// SetEnd sets when the entry stops. Requests that are likely to last longer are rejected,
+// so that they are not cut off then.
+func (f *Forwarder) SetEnd(t time.Time) { f.end.Store(&t) }
+
 // Trim closes connections to upstreams and other entries that have been idle for too long.
 func (f *Forwarder) Trim() {
 	f.pool.Trim()
@@ -289,6 +295,9 @@
 		return x, errQuarantined
 	}
 	x.serviceTime = x.service.admit(x.route.Name, !x.relayed, time.Now())
+	if end := f.end.Load(); end != nil && x.outlasts(*end) {
+		return x, errDraining
+	}
 	return x, nil
 }
 
--- a/runner/shutdown.go
+++ b/runner/shutdown.go
@@ -30,6 +30,7 @@
 	deadline := start.Add(g.process.Gateway().ShutdownTimeout() - exitMargin)
 	g.log.Info("entry leaving", "running", g.callers.Pending())
 	g.draining.Store(true)
+	g.forwarder.SetEnd(deadline)
 	g.callers.Drain()
 	g.announcer.AnnounceDrain(ctx)
 	sleeper.Sleep(ctx, time.Until(start.Add(time.Duration(acceptFraction*float64(deadline.Sub(start))))))
