--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"poplarwind/internal/sanitizer"
 	"poplarwind/pipeliner"
 	"poplarwind/pooler"
 )
@@ -224,13 +223,9 @@
 func (x *exchange) writeRelayed(c *pooler.Conn) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	x.call.Request.Header.CopyTo(&req.Header)
-	sanitizer.StripHopByHop(&req.Header)
-	req.Header.ResetConnectionClose()
-	req.UseHostHeader = true
+	x.copyRequest(req)
 	req.Header.Set(headerRelayed, strconv.Itoa(x.attempts()))
 	x.forwarder.options.Dialect.SetTimeout(&req.Header, time.Until(x.deadline))
-	req.SetBodyRaw(x.call.Request.Body())
 	return c.Send(req)
 }
 
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	_ "poplarwind/internal/starter"
 	"poplarwind/pipeliner"
 	"poplarwind/reacher"
 )
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -172,14 +172,19 @@
 func (x *exchange) writeRequest(c *pooler.Conn, u *placer.Upstream) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
+	x.copyRequest(req)
+	req.Header.Del(headerRelayed)
+	x.forwarder.options.Dialect.SetTarget(&req.Header, u.ID(), time.Until(x.deadline))
+	return c.Send(req)
+}
+
+// copyRequest copies the caller's request without its hop-by-hop headers.
+func (x *exchange) copyRequest(req *fasthttp.Request) {
 	x.call.Request.Header.CopyTo(&req.Header)
 	sanitizer.StripHopByHop(&req.Header)
 	req.Header.ResetConnectionClose()
 	req.UseHostHeader = true
-	req.Header.Del(headerRelayed)
-	x.forwarder.options.Dialect.SetTarget(&req.Header, u.ID(), time.Until(x.deadline))
 	req.SetBodyRaw(x.call.Request.Body())
-	return c.Send(req)
 }
 
 // maxResponses bounds how many responses are read to find the one to this
--- a/reacher/monitor.go
+++ b/reacher/monitor.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/sleeper"
 )
 
 // Path is the path of messages between entries.
@@ -43,7 +44,7 @@
 	Send(ctx context.Context, m announcer.Member, path string, message, response any) error
 }
 
-// Options configures a Monitor. All fields but OnChange must be set.
+// Options configures a Monitor. All fields must be set.
 type Options struct {
 	Reach *Reach
 	Peers Peers
@@ -55,21 +56,14 @@
 	Upstreams func() []string
 	// Dial opens a connection to an upstream and closes it.
 	Dial func(ctx context.Context, addr string) error
-	// OnChange is called when the entry is cut off, and when it no longer is.
-	OnChange func(cut bool)
-	Log      *slog.Logger
+	Log  *slog.Logger
 }
 
 // Monitor finds out whether the entry is cut off.
 type Monitor struct{ options Options }
 
 // NewMonitor returns a Monitor.
-func NewMonitor(o Options) *Monitor {
-	if o.OnChange == nil {
-		o.OnChange = func(bool) {}
-	}
-	return &Monitor{options: o}
-}
+func NewMonitor(o Options) *Monitor { return &Monitor{options: o} }
 
 // answer is the reply to a question of another entry.
 type answer struct {
@@ -77,29 +71,26 @@
 	Reached bool `json:"reached"`
 }
 
-// Run runs until ctx ends.
+// Run runs until ctx ends. It checks the reach when it is suspected to be lost, and
+// periodically while it is.
 func (m *Monitor) Run(ctx context.Context) error {
-	for {
-		var suspected <-chan struct{}
-		pause := cutInterval
-		if !m.options.Reach.Cut() {
-			suspected, pause = m.options.Reach.suspected, suspicionInterval
+	reach := m.options.Reach
+	for ctx.Err() == nil {
+		if !reach.Cut() {
 			select {
-			case <-suspected:
+			case <-reach.suspected:
 			case <-ctx.Done():
 				return nil
 			}
 		}
 		m.check(ctx)
-		if m.options.Reach.Cut() {
+		pause := suspicionInterval
+		if reach.Cut() {
 			pause = cutInterval
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return nil
-		}
+		sleeper.Sleep(ctx, pause)
 	}
+	return nil
 }
 
 // check tries upstreams. If none can be reached, it asks other entries.
@@ -129,30 +120,37 @@
 	} else {
 		m.options.Log.Info("upstreams reachable", attrs...)
 	}
-	m.options.OnChange(cut)
 }
 
 // dialSome tries a few upstreams at once, chosen at random. It returns how many were tried
 // and how many accepted a connection.
 func (m *Monitor) dialSome(ctx context.Context) (tried, reached int) {
 	list := m.options.Upstreams()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	list = list[:min(maxDials, len(list))]
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var accepted atomic.Int64
+	return tryAny(list, maxDials, func(addr string) bool {
+		err := m.options.Dial(ctx, addr)
+		m.options.Reach.RecordDial(time.Now(), addr, err == nil)
+		return err == nil
+	})
+}
+
+// tryAny calls try at once for at most limit elements of list, chosen at random. It returns
+// how many were tried and for how many try returned true.
+func tryAny[T any](list []T, limit int, try func(T) bool) (tried, succeeded int) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list = list[:min(limit, len(list))]
+	var n atomic.Int64
 	var wg sync.WaitGroup
-	for _, addr := range list {
+	for _, v := range list {
 		wg.Go(func() {
-			err := m.options.Dial(ctx, addr)
-			m.options.Reach.RecordDial(time.Now(), addr, err == nil)
-			if err == nil {
-				accepted.Add(1)
+			if try(v) {
+				n.Add(1)
 			}
 		})
 	}
 	wg.Wait()
-	return len(list), int(accepted.Load())
+	return len(list), int(n.Load())
 }
 
 // askPeers asks a few other entries at once, chosen at random, whether they reach
@@ -164,25 +162,15 @@
 			others = append(others, p)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(maxPeers, len(others))]
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var yes atomic.Int64
-	var wg sync.WaitGroup
-	for _, p := range others {
-		wg.Go(func() {
-			var reply answer
-			if err := m.options.Peers.Send(ctx, p, Path, struct{}{}, &reply); err != nil {
-				m.options.Log.Debug("peer not asked for its reach", "to", p.Name, "error", err.Error())
-			}
-			if reply.Reached {
-				yes.Add(1)
-			}
-		})
-	}
-	wg.Wait()
-	return len(others), int(yes.Load())
+	return tryAny(others, maxPeers, func(p announcer.Member) bool {
+		var reply answer
+		if err := m.options.Peers.Send(ctx, p, Path, struct{}{}, &reply); err != nil {
+			m.options.Log.Debug("peer not asked for its reach", "to", p.Name, "error", err.Error())
+		}
+		return reply.Reached
+	})
 }
 
 // Serve handles a question of another entry and returns the reply. A malformed message
--- a/runner/reach_cluster_test.go
+++ b/runner/reach_cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/announcer"
+	_ "poplarwind/internal/starter"
 	"poplarwind/pipeliner"
 	"poplarwind/reacher"
 )
