--- a/pooler/cutoff_test.go
+++ b/pooler/cutoff_test.go
@@ -13,10 +13,10 @@
 // head: no part of a head may be taken for a response, with a body or without one.
 func TestResponseCutOffInHead(t *testing.T) {
 	for _, head := range []string{
-		"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\nConnection: close\r\n\r\n",
-		"HTTP/1.1 200 OK\nRequest-Id: 1\nTransfer-Encoding: chunked\n\n",
-		"HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\n",
+		"HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		for n := range len(head) {
