runner: the two cluster tests take the lock for what they share

The run of the whole script found unlocked accesses of the tests under the race detector: the crashing path and the store's state are set while entries run, and the counts of first tries were read without the lock. None is in the product.

--- a/runner/crash_cluster_test.go
+++ b/runner/crash_cluster_test.go
@@ -199,9 +199,12 @@
 
 // loadCrashing sends the crashing request to entries at a rate per second for a duration.
 func (c *cluster) loadCrashing(d time.Duration, rate int, method string) {
+	c.mu.Lock()
+	path := c.crashing.path
+	c.mu.Unlock()
 	for i := range int(d.Seconds() * float64(rate)) {
 		time.Sleep(time.Second / time.Duration(rate))
-		go c.pick().request(fmt.Sprint("c", time.Now().UnixNano(), "-", i), method, c.crashing.path)
+		go c.pick().request(fmt.Sprint("c", time.Now().UnixNano(), "-", i), method, path)
 	}
 }
 
@@ -315,7 +318,9 @@
 				}
 				time.Sleep(4 * time.Second)
 				c.load(2*time.Second, 100)
+				c.mu.Lock()
 				c.crashing.path, c.store.down, c.store.era = tt.path, tt.storeDown, 1
+				c.mu.Unlock()
 				go c.loadCrashing(60*time.Second, tt.rate, tt.method)
 				c.load(10*time.Second, 100)
 				sent, served := c.counts()
--- a/runner/reach_cluster_test.go
+++ b/runner/reach_cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"strings"
 	"testing"
@@ -116,7 +117,9 @@
 		go c.try(i, &tries)
 	}
 	time.Sleep(2 * time.Second)
-	return tries
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return firstTries{sent: maps.Clone(tries.sent), served: maps.Clone(tries.served)}
 }
 
 func (c *cluster) try(i int, tries *firstTries) {
