forwarder, placer, platform, reporter: pauses and retries can be seen

Cause: of the hypotheses on repeats beyond the budget, two could not be told apart: nothing showed what an upstream asks for with Retry-After, nor how many retries an entry takes from its budget. Change: the header is decoded (a malformed one is a typed error and a log line), a pause that begins is logged, and /status and the metrics show the pauses, the requests sent during them, the retries, and those denied for want of budget. Nothing is decided by them yet. Result: builds; which requests are sent where is unchanged.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -167,7 +167,7 @@
 	if !o.sent || o.overdue {
 		return nil
 	}
-	if !x.service.retryBudget.Spend(time.Now()) {
+	if !x.service.spendRetry(time.Now()) {
 		return errNoRetry
 	}
 	return nil
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -10,16 +10,16 @@
 	"poplarwind/placer"
 )
 
-//go:generate go tool stringer -type=limitSource -linecomment -output=limitsource_string.go
+//go:generate go tool stringer -type=statementSource -linecomment -output=statementsource_string.go
 
-// limitSource is where a rate limit of an upstream was learned from.
-type limitSource int
+// statementSource is where a statement of an upstream about itself was learned from.
+type statementSource int
 
-// The sources of rate limits.
+// The sources of statements.
 const (
-	sourceRequest limitSource = iota // request
-	sourceProbe                      // probe
-	sourcePeer                       // peer
+	sourceRequest statementSource = iota // request
+	sourceProbe                          // probe
+	sourcePeer                           // peer
 )
 
 // LimitReport is the rate limit of an upstream as one entry reports it to another.
@@ -59,7 +59,7 @@
 // reports whether the limit has changed. A load probe's response without a limit says
 // nothing: upstreams may state it only in responses to requests. The same holds for a
 // request that did not run. The lock of the service must be held.
-func (x *exchange) recordLimit(u *placer.Upstream, info ResponseInfo, sentAt time.Time, source limitSource) bool {
+func (x *exchange) recordLimit(u *placer.Upstream, info ResponseInfo, sentAt time.Time, source statementSource) bool {
 	log := x.forwarder.options.Log
 	if info.LimitMalformed {
 		log.Warn("rate limit of upstream can't be parsed", "upstream", u.ID(), "service", x.service.name, "source", source.String())
--- /dev/null
+++ b/forwarder/pause.go
@@ -0,0 +1,35 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/placer"
+)
+
+// parseResponse parses the protocol headers of a response of the upstream, to whatever
+// request, and records the pause that it asks for.
+func (x *exchange) parseResponse(u *placer.Upstream, resp *fasthttp.Response, source statementSource) ResponseInfo {
+	now := time.Now()
+	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, now)
+	if info.PauseError != nil {
+		x.forwarder.options.Log.Warn("pause that upstream asks for can't be parsed", "upstream", u.ID(), "service", x.service.name, "source", source.String(), "request", string(x.id), "error", info.PauseError.Error())
+	}
+	if info.Pause > 0 {
+		x.recordPause(now, u, info.Pause, source)
+	}
+	return info
+}
+
+// recordPause records that the upstream asks this entry for a pause.
+func (x *exchange) recordPause(now time.Time, u *placer.Upstream, pause time.Duration, source statementSource) {
+	s := x.service
+	s.mu.Lock()
+	begins := s.fleet.RecordPause(now, u, pause)
+	sent := u.SentWhilePaused()
+	s.mu.Unlock()
+	if begins {
+		x.forwarder.options.Log.Info("upstream asks for a pause", "upstream", u.ID(), "service", s.name, "pause_ms", pause.Milliseconds(), "source", source.String(), "request", string(x.id), "sent_in_pauses", sent)
+	}
+}
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -354,7 +354,7 @@
 	if err := c.Receive(resp, false, x.forwarder.options.MaxResponseBody); err != nil {
 		return ResponseInfo{}, false
 	}
-	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
+	info := x.parseResponse(u, resp, sourceProbe)
 	usable := !resp.ConnectionClose() && len(info.ID) == 0 && !info.Stamped && c.Clean()
 	if info.NotRun {
 		c.SetRejected()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -107,7 +107,7 @@
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
-	return x.hasTime(time.Now()) && x.service.retryBudget.Spend(time.Now())
+	return x.hasTime(time.Now()) && x.service.spendRetry(time.Now())
 }
 
 // queryEntries asks entries whether they take relayed requests, a few at once, and returns
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -87,7 +87,7 @@
 		o.overdue, o.err = true, errOverdue
 	}
 	if o.err == nil {
-		o.resp, o.err = x.readResponse(c)
+		o.resp, o.err = x.readResponse(c, u)
 	}
 	o.disconnected = !stop()
 	o.sent = c.Written()
@@ -141,7 +141,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !responded && x.hasTime(time.Now()) && s.retryBudget.Spend(time.Now())
+	return !responded && x.hasTime(time.Now()) && s.spendRetry(time.Now())
 }
 
 // earlyResponseBody is the size in bytes of a request body above which an
@@ -152,7 +152,7 @@
 
 // applyResponseInfo updates the state of the upstream from its response to a request or
 // a load probe that was sent at sentAt.
-func (x *exchange) applyResponseInfo(u *placer.Upstream, info ResponseInfo, sentAt time.Time, source limitSource) {
+func (x *exchange) applyResponseInfo(u *placer.Upstream, info ResponseInfo, sentAt time.Time, source statementSource) {
 	s := x.service
 	s.mu.Lock()
 	limitChanged := x.recordLimit(u, info, sentAt, source)
@@ -193,15 +193,17 @@
 
 // readResponse reads the response to this request. Responses of the upstream to
 // earlier requests are skipped.
-func (x *exchange) readResponse(c *pooler.Conn) (*fasthttp.Response, error) {
+func (x *exchange) readResponse(c *pooler.Conn, u *placer.Upstream) (*fasthttp.Response, error) {
 	resp := fasthttp.AcquireResponse()
 	for range maxResponses {
 		resp.Reset()
-		if err := c.ReceiveUntilClose(resp, x.call.Request.Header.IsHead(), x.forwarder.options.MaxResponseBody); err != nil {
+		err := c.ReceiveUntilClose(resp, x.call.Request.Header.IsHead(), x.forwarder.options.MaxResponseBody)
+		// The header may be complete when the body is not.
+		info := x.parseResponse(u, resp, sourceRequest)
+		if err != nil {
 			fasthttp.ReleaseResponse(resp)
 			return nil, err
 		}
-		info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
 		if len(info.ID) > 0 && !bytes.Equal(info.ID, x.id) {
 			continue
 		}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -15,6 +15,9 @@
 	mu          sync.Mutex
 	fleet       placer.Fleet
 	retryBudget limiter.RetryBudget
+	// retries counts the retries taken from the budget, and retriesDenied those for
+	// which nothing was left.
+	retries, retriesDenied int64
 	// loadFraction is EntrySet.LoadFraction over the window of the retry budget.
 	loadFraction limiter.SlidingMinimum
 	queue        limiter.Queue[*exchange]
@@ -66,6 +69,17 @@
 	return t
 }
 
+// spendRetry takes one retry from the budget and reports whether one was left. The lock
+// must be held.
+func (s *service) spendRetry(now time.Time) bool {
+	if !s.retryBudget.Spend(now) {
+		s.retriesDenied++
+		return false
+	}
+	s.retries++
+	return true
+}
+
 func (s *service) remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -12,10 +12,14 @@
 	// Waiting is the number of requests in the admission queue of this entry.
 	Waiting int `json:"waiting"`
 	// Usable is the number of upstreams that requests may be sent to.
-	Usable          int              `json:"usable"`
-	AssignedEntries int              `json:"carriers"`
-	AverageLatency  time.Duration    `json:"usual_ns"`
-	Upstreams       []UpstreamStatus `json:"upstreams"`
+	Usable          int           `json:"usable"`
+	AssignedEntries int           `json:"carriers"`
+	AverageLatency  time.Duration `json:"usual_ns"`
+	// Retries is the number of retries taken from the budget, and RetriesDenied the
+	// number of those for which nothing was left.
+	Retries       int64            `json:"retries,omitempty"`
+	RetriesDenied int64            `json:"retries_denied,omitempty"`
+	Upstreams     []UpstreamStatus `json:"upstreams"`
 }
 
 // UpstreamStatus is the state of one upstream as seen by an entry.
@@ -33,6 +37,10 @@
 	LimitFraction float64 `json:"part,omitempty"`
 	// Sent is the number of requests sent to it since it states a limit.
 	Sent int64 `json:"sent,omitempty"`
+	// PauseLeft is the time left of the pause that it has asked this entry for, and
+	// SentWhilePaused the number of requests sent to it during pauses.
+	PauseLeft       time.Duration `json:"pause_left_ns,omitempty"`
+	SentWhilePaused int64         `json:"sent_in_pauses,omitempty"`
 }
 
 // Status returns the state of all services at this entry, by name.
@@ -53,7 +61,7 @@
 func (s *service) status(now time.Time) ServiceStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := ServiceStatus{Name: s.name, Waiting: s.queue.Len(), AssignedEntries: s.assignedEntries, AverageLatency: s.fleet.AverageLatency()}
+	out := ServiceStatus{Name: s.name, Waiting: s.queue.Len(), AssignedEntries: s.assignedEntries, AverageLatency: s.fleet.AverageLatency(), Retries: s.retries, RetriesDenied: s.retriesDenied}
 	for _, u := range s.fleet.List() {
 		if u.Usable(now) {
 			out.Usable++
@@ -61,6 +69,7 @@
 		spec := u.Spec()
 		status := UpstreamStatus{
 			ID: spec.ID, Addr: spec.Addr, Domain: spec.Domain, Draining: spec.Draining, Ejected: u.Ejected(now), Load: loadOf(u, now),
+			PauseLeft: max(0, u.PauseEnd().Sub(now)), SentWhilePaused: u.SentWhilePaused(),
 		}
 		if limit := u.RateLimit(); limit.Limited {
 			status.RateLimit, status.LimitFraction, status.Sent = &limit.Rate, u.LimitFraction(), u.SentWhileLimited()
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -49,6 +49,9 @@
 	if u.limit.stated.Limited {
 		u.limit.take(now, f.randFloat())
 	}
+	if u.Paused(now) {
+		u.pause.sent++
+	}
 	return a
 }
 
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -48,6 +48,7 @@
 	report           Report
 	inFlightAtReport int
 	limit            limitState
+	pause            pauseState
 	// consecutiveFailures counts failed requests since the last success.
 	consecutiveFailures int
 	// failureRate is the moving average of failed requests as of failureRateAt.
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -82,9 +82,45 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if err := g.registerCounters(meter); err != nil {
+		return nil, err
+	}
 	return g, g.registerGauges(meter)
 }
 
+// registerCounters registers the counters that are read at each scrape.
+func (g *Gateway) registerCounters(meter metric.Meter) error {
+	for _, v := range []struct {
+		name, description string
+		read              func(s *forwarder.ServiceStatus) int64
+	}{
+		{"poplarwind.retries", "Requests sent to a further upstream, by service.", func(s *forwarder.ServiceStatus) int64 { return s.Retries }},
+		{"poplarwind.retries.denied", "Requests not sent to a further upstream for want of retry budget, by service.", func(s *forwarder.ServiceStatus) int64 { return s.RetriesDenied }},
+		{"poplarwind.upstreams.sent_in_pauses", "Requests sent to upstreams during pauses that these asked for, by service.", func(s *forwarder.ServiceStatus) int64 {
+			var n int64
+			for _, u := range s.Upstreams {
+				n += u.SentWhilePaused
+			}
+			return n
+		}},
+	} {
+		i, err := meter.Int64ObservableCounter(v.name, metric.WithDescription(v.description))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+			for _, s := range g.sources.Forwarder.Status() {
+				o.ObserveInt64(i, v.read(&s), metric.WithAttributes(attribute.String("service", s.Name)))
+			}
+			return nil
+		}, i)
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
 // registerGauges registers the gauges that are read at each scrape.
 func (g *Gateway) registerGauges(meter metric.Meter) error {
 	for _, v := range []struct {
@@ -117,6 +153,17 @@
 				o.ObserveFloat64(i, float64(s.Usable), metric.WithAttributes(attribute.String("service", s.Name)))
 			}
 		}},
+		{"poplarwind.upstreams.paused", "Upstreams that have asked this entry for a pause that has not ended, by service.", func(o metric.Observer, i metric.Float64Observable) {
+			for _, s := range g.sources.Forwarder.Status() {
+				paused := 0
+				for _, u := range s.Upstreams {
+					if u.PauseLeft > 0 {
+						paused++
+					}
+				}
+				o.ObserveFloat64(i, float64(paused), metric.WithAttributes(attribute.String("service", s.Name)))
+			}
+		}},
 		{"poplarwind.quarantine.requests", "Requests in quarantine because upstreams crash when they run them.", g.scalar(func() float64 { return float64(g.quarantined()) })},
 		{"poplarwind.upstreams.cut", "1 while this entry is cut off from the upstreams of all services.", g.scalar(func() float64 {
 			if g.sources.Reach.Cut() {
