runner: failing tests of requests in pauses and of repeats beyond the budget

What callers see: an upstream that rejects requests and asks for a pause gets the next requests at once, since its load probes say that it is free; with three upstreams, one of which does so, half to four fifths of the callers are served. Evidence: TestRequestsDuringPause, 4 to 194 requests of one entry in a pause where 2 are allowed, ten of ten cases fail. TestRepeatsOfRejectedRequests: 370 to 416 repeats in 10 s where 360 are allowed, five of six cases fail. They are two faults: the repeats stay in the budget in the first test, and nobody asks for a pause in the second. Requests of the test cluster now have different IDs in each round of load, so that repeats can be counted.

--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -38,6 +38,10 @@
 
 func (clusterDialect) ParseResponse(h *fasthttp.ResponseHeader, now time.Time) forwarder.ResponseInfo {
 	info := forwarder.ResponseInfo{ID: h.Peek("Id"), Stamped: len(h.Peek("Id")) > 0, HasLoad: true, Load: placer.Report{Slots: 8, Slowness: 1, At: now}}
+	info.NotRun = len(h.Peek("Not-Run")) > 0
+	if v := h.Peek("Pause"); len(v) > 0 {
+		info.Pause, info.PauseError = time.ParseDuration(string(v))
+	}
 	if v := h.Peek("Limit"); len(v) > 0 {
 		rate, err := strconv.ParseFloat(string(v), 64)
 		info.RateLimit, info.Limited = rate, err == nil
@@ -57,7 +61,8 @@
 	limited  bool
 	arrivals []clusterArrival
 	// told holds when each entry first received a response with the limit.
-	told map[string]time.Time
+	told   map[string]time.Time
+	pauses clusterPauses
 	// down is set while the upstream does not run. Boot counts its starts.
 	down  bool
 	boot  int64
@@ -84,6 +89,9 @@
 	store    clusterStore
 	// arrived counts the arrivals of each request at upstreams.
 	arrived map[string]int
+	// requestedAt holds when each request was sent by its caller, and repeatedAt when each
+	// arrived at upstreams after its first arrival.
+	requestedAt, repeatedAt []time.Time
 }
 
 // clusterNode is one entry of the cluster.
@@ -233,9 +241,19 @@
 		c.mu.Lock()
 		if !probe {
 			u.arrivals = append(u.arrivals, clusterArrival{at: time.Now(), entry: n.name})
-			c.arrived[string(req.Header.Peek("Id"))]++
+			id := string(req.Header.Peek("Id"))
+			if c.arrived[id]++; c.arrived[id] > 1 {
+				c.repeatedAt = append(c.repeatedAt, time.Now())
+			}
 		}
+		rejection := u.pauses.reject(c.random, n.name, probe)
 		c.mu.Unlock()
+		if rejection != "" {
+			if _, err := conn.Write([]byte(rejection)); err != nil {
+				return
+			}
+			continue
+		}
 		if !probe {
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -361,7 +379,11 @@
 
 // call sends one request to an entry that serves callers.
 func (c *cluster) call(i int) {
-	status := c.pick().request(fmt.Sprint("r", i), "POST", fmt.Sprint("/x", i))
+	c.mu.Lock()
+	c.requestedAt = append(c.requestedAt, time.Now())
+	id := fmt.Sprint("r", len(c.requestedAt))
+	c.mu.Unlock()
+	status := c.pick().request(id, "POST", fmt.Sprint("/x", i))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
