placer, forwarder: upstreams get no requests while they ask for a pause

What callers saw: beside two free upstreams a fifth to a half of them were rejected while the third asked for a pause, and that one got 72 to 194 requests in it. Cause: nothing read Retry-After of an upstream. A rejection marked it as full only until the next load probe, which said that it was free: the one with the lowest load, hence the first choice. The class of fault is a statement of an upstream that nobody reads. Ruled out: marking the upstream as full for longer, since reports override it; telling other entries, since the pause is asked of one entry and an upstream that is busy with one would lose all of its load. Change: a pause is recorded from every response of the upstream, also to load probes, to earlier requests, and with a body that is cut off. Until it ends the upstream gets no requests and no load probes; then one request goes ahead as a trial. It is kept when the record of the process is removed and returns, and ends with the process. If all upstreams are paused, requests that could not be served in time are rejected at once with the time until the first pause ends; others wait for it. Tests of each kind of response, of removal and of trials are new.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -135,6 +135,10 @@
 		if errors.Is(err, pooler.ErrConnLimit) {
 			return true
 		}
+		if err == nil && x.service.paused(u) {
+			x.forwarder.pool.Discard(c)
+			return true
+		}
 		if err == nil {
 			info, ok := x.queryLoad(c, u)
 			x.forwarder.pool.Discard(c)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,6 +23,7 @@
 	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
 	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
+	errPaused       = errors.ConstError("all upstreams have asked for pauses")
 	errQuarantined  = errors.ConstError("upstreams crash when they run this request")
 	errCutOff       = errors.ConstError("upstreams are out of reach, and no other entry took the request")
 	errNoUpstream   = errors.ConstError("service has no upstream")
@@ -232,6 +233,11 @@
 		s.mu.Unlock()
 		return candidate{}, errNoUpstream
 	}
+	if wait, paused := s.fleet.PauseLeft(now); paused && now.Add(wait+x.minServiceTime()).After(x.deadline) {
+		x.retryAfter = wait
+		s.mu.Unlock()
+		return candidate{}, errPaused
+	}
 	if s.fleet.Withheld(now) {
 		x.retryAfter = noSlotsWait
 		s.mu.Unlock()
--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -33,3 +33,10 @@
 		x.forwarder.options.Log.Info("upstream asks for a pause", "upstream", u.ID(), "service", s.name, "pause_ms", pause.Milliseconds(), "source", source.String(), "request", string(x.id), "sent_in_pauses", sent)
 	}
 }
+
+// paused reports whether the upstream has asked this entry for a pause that has not ended.
+func (s *service) paused(u *placer.Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return u.Paused(time.Now())
+}
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -274,6 +274,9 @@
 	}
 	if err == nil {
 		pool.Discard(c)
+		if x.service.paused(u) {
+			return candidate{upstream: u, err: errPaused}
+		}
 		// The pooled connection may have been stale: retry on a new one.
 		if c, err = pool.NewConn(ctx, u.Addr(), limit); err == nil {
 			if x.probeConn(c, u) {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -49,7 +49,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errPaused):
 		return placer.Abandoned
 	default:
 		return placer.Failed
@@ -67,6 +67,9 @@
 	case x.quarantined():
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errQuarantined
+	case x.service.paused(cand.upstream):
+		x.forwarder.pool.Put(cand.conn)
+		o.err = errPaused
 	default:
 		x.attempted = append(x.attempted, cand.upstream)
 		x.roundTrip(cand, &o)
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -161,6 +161,9 @@
 func (s *service) estimateWait(now time.Time, ahead int) time.Duration {
 	slots := float64(s.fleet.Slots(now))/float64(s.assignedEntries) + s.fleet.LimitedSlots(now)
 	if slots <= 0 {
+		if wait, paused := s.fleet.PauseLeft(now); paused {
+			return wait
+		}
 		return noSlotsWait
 	}
 	return time.Duration(float64(ahead) / slots * float64(s.fleet.AverageLatency()))
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -43,6 +43,9 @@
 		ID: h.Peek("Id"), Instance: string(h.Peek("Instance")), Stamped: len(h.Peek("Stamp")) > 0,
 		NotRun: len(h.Peek("Not-Run")) > 0, Misdirected: h.StatusCode() == fasthttp.StatusMisdirectedRequest,
 	}
+	if v := h.Peek("Pause"); len(v) > 0 {
+		info.Pause, info.PauseError = time.ParseDuration(string(v))
+	}
 	if v := h.Peek("Load"); len(v) > 0 {
 		running, err := strconv.Atoi(string(v))
 		info.Load, info.HasLoad = placer.Report{Running: running, Slots: 3, Slowness: 1, At: now}, err == nil
@@ -78,11 +81,18 @@
 	// shedTwice rejects without an ID, and writes the rejection again when the next
 	// request arrives on the connection, before it runs that.
 	shedTwice fault = "writes an earlier rejection again"
+	// The next ones shed and ask for a pause: in a response with the request's ID, without
+	// an ID, with a body that is cut off, and in one to an earlier request.
+	shedPause        fault = "sheds and asks for a pause"
+	shedPauseUnnamed fault = "sheds without an ID and asks for a pause"
+	shedPauseCut     fault = "sheds, asks for a pause and cuts the body off"
+	shedPauseStale   fault = "asks for a pause in response to an earlier request"
 )
 
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, shed, misdirected,
 	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
+	shedPause, shedPauseUnnamed, shedPauseCut, shedPauseStale,
 }
 
 // rejection is a response that states that its request did not run, without its ID.
@@ -101,7 +111,11 @@
 	work time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
-	conns        []net.Conn
+	// reached counts the requests and load probes at each upstream, if it is not nil.
+	reached map[string]int
+	// pausingProbes is set if upstreams reject load probes and ask for a pause.
+	pausingProbes bool
+	conns         []net.Conn
 }
 
 func (tb *testbed) nextFault() fault {
@@ -141,6 +155,13 @@
 	}
 }
 
+// reachedBy returns the number of requests and load probes that reached an upstream.
+func (tb *testbed) reachedBy(id string) int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.reached[id]
+}
+
 // serve implements the upstream's side of a connection.
 func (tb *testbed) serve(c net.Conn, addr string) {
 	defer c.Close()
@@ -161,13 +182,20 @@
 		if err := req.Read(r); err != nil {
 			return
 		}
+		tb.mu.Lock()
+		if tb.reached != nil {
+			tb.reached[addr]++
+		}
+		load, unresponsive, pausing := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes
+		tb.mu.Unlock()
 		if string(req.Header.RequestURI()) == "/health" {
-			tb.mu.Lock()
-			load, unresponsive := tb.load[addr], tb.unresponsive[addr]
-			tb.mu.Unlock()
 			if unresponsive {
 				continue
 			}
+			if pausing {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
 			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d\r\nContent-Length: 0\r\n\r\n", addr, load); err != nil {
 				return
 			}
@@ -203,6 +231,13 @@
 		return write("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 	case shedTwice:
 		return write(rejection)
+	case shedPause:
+		return write("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n", id)
+	case shedPauseUnnamed:
+		return write("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
+	case shedPauseCut:
+		write("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nPause: 5s\r\nContent-Length: 9\r\n\r\n", id)
+		return false
 	case misdirected:
 		return write("HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -242,6 +277,9 @@
 	case staleFirst:
 		write("HTTP/1.1 200 OK\r\nId: earlier\r\nStamp: s\r\nContent-Length: 5\r\n\r\nstray")
 		return complete("")
+	case shedPauseStale:
+		write("HTTP/1.1 503 Service Unavailable\r\nId: earlier\r\nNot-Run: 1\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
+		return complete("")
 	case closeAfter:
 		complete("Connection: close\r\n")
 		return false
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -49,9 +49,7 @@
 	if u.limit.stated.Limited {
 		u.limit.take(now, f.randFloat())
 	}
-	if u.Paused(now) {
-		u.pause.sent++
-	}
+	u.pause.start(now)
 	return a
 }
 
@@ -70,6 +68,9 @@
 func (f *Fleet) Finish(now time.Time, a *Attempt, r Result, serviceTime *ServiceTime) {
 	u := a.upstream
 	u.inFlight--
+	if r != Abandoned {
+		u.pause.finish(a.startedAt)
+	}
 	switch r {
 	case Answered:
 		u.consecutiveFailures, u.consecutiveEjections = 0, 0
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -19,6 +19,8 @@
 
 	// upstreams holds each upstream once, in insertion order.
 	upstreams []*Upstream
+	// removedPauses holds the pauses of upstreams that were removed, by ID.
+	removedPauses map[string]removedPause
 	// avgLatency is the moving average of the time from send to response.
 	avgLatency time.Duration
 	// saturationFactor is the factor by which a request takes longer at a
@@ -41,12 +43,13 @@
 }
 
 // Put adds or updates an upstream. If its process was restarted under the same
-// ID, or its address changed, its previous state is discarded.
+// ID, or its address changed, its previous state is discarded, except for a pause that
+// the same process has asked for.
 func (f *Fleet) Put(now time.Time, s Spec) {
 	u := f.Find(s.ID)
 	if u == nil || u.spec.StartedAt != s.StartedAt || u.spec.Addr != s.Addr {
 		f.Remove(s.ID)
-		u = &Upstream{}
+		u = &Upstream{pause: f.takePause(now, s)}
 		f.upstreams = append(f.upstreams, u)
 	}
 	u.spec = s
@@ -60,6 +63,7 @@
 	if i < 0 {
 		return
 	}
+	f.keepPause(f.upstreams[i])
 	f.upstreams[i].removed = true
 	f.upstreams = slices.Delete(f.upstreams, i, i+1)
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -49,10 +49,13 @@
 	f := &p.fleet
 	u := f.Find(args[min(1, len(args)-1)])
 	switch args[0] {
-	case "put": // put id domain slots [draining|cold]
+	case "put": // put id domain slots [draining|cold|restarted]
 		s := Spec{ID: args[1], Service: "s", Addr: args[1], Domain: args[2], Slots: int(p.parseFloat(args[3]))}
 		if len(args) > 4 {
 			s.Draining = args[4] == "draining"
+			if args[4] == "restarted" {
+				s.StartedAt = 1
+			}
 			if args[4] == "cold" {
 				s.Warmup = 3 * time.Second
 			}
@@ -76,6 +79,14 @@
 		f.SetLimitFraction(p.now, u, p.parseFloat(args[2]), entries)
 	case "unreported":
 		return joinIDs(f.TakeUnreported(nil, p.now))
+	case "pause": // pause id milliseconds
+		return fmt.Sprint(f.RecordPause(p.now, u, time.Duration(p.parseFloat(args[2]))*time.Millisecond))
+	case "pauseleft": // pauseleft, in tenths of a second
+		left, paused := f.PauseLeft(p.now)
+		if !paused {
+			return "none"
+		}
+		return fmt.Sprint(int(left / (100 * time.Millisecond)))
 	case "withheld":
 		return fmt.Sprint(f.Withheld(p.now))
 	case "limitedslots":
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -107,11 +107,13 @@
 
 // Usable reports whether requests may be sent to the upstream, within its rate limit.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.removed && !u.spec.Draining && !u.Ejected(now)
+	return !u.removed && !u.spec.Draining && !u.Ejected(now) && !u.Paused(now)
 }
 
 // available reports whether a request may be sent to the upstream now.
-func (u *Upstream) available(now time.Time) bool { return u.Usable(now) && u.limit.allows(now) }
+func (u *Upstream) available(now time.Time) bool {
+	return u.Usable(now) && u.limit.allows(now) && u.pause.allows(now)
+}
 
 const (
 	// failureWeight is the weight of one request in the failure rate.
