limiter: retries count for the whole window in which they were taken

What callers and upstreams saw: while upstreams reject everything, a service gets up to a seventh more repeats in 10 s than its budget. Cause: retries were counted in ten buckets of a tenth of the window, the last of which is still being filled. Those taken late in a bucket were forgotten with its first ones, up to a tenth of the window early, and could be replaced within the same window. The bucket of an entry begins with its first request, and the entries of a service begin together. Change: the times of the retries are kept, of which the budget bounds the number. Requests are counted in buckets as before, all of which lie within the window. Ruled out: an eleventh bucket for retries, which delays the next retry by up to a tenth of the window more (retry_budget_window.txt, which expects it after exactly the window, fails). Result: retry_budget_late.txt failed in three rows before (20 retries after 9.1 s where none is allowed) and passes.

--- a/limiter/retry_budget.go
+++ b/limiter/retry_budget.go
@@ -1,8 +1,12 @@
 package limiter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// windowBuckets is the number of buckets that the budget's window is divided into.
+// windowBuckets is the number of buckets that the budget's window is divided into to count
+// requests.
 const windowBuckets = 10
 
 // RetryBudget limits the requests that are sent again, so that retries do not
@@ -18,10 +22,12 @@
 	// epoch is the first time passed to advance. Buckets are numbered from it by the
 	// monotonic clock, which a change of the wall clock does not affect.
 	epoch time.Time
-	// buckets[i] holds the counts of the bucket number in numbers[i], which is
+	// requests[i] holds the count of the bucket number in numbers[i], which is
 	// congruent to i modulo windowBuckets.
-	buckets [windowBuckets]struct{ requests, retries int }
-	numbers [windowBuckets]int64
+	requests [windowBuckets]int
+	numbers  [windowBuckets]int64
+	// retries holds when the retries of the window were taken, the oldest first.
+	retries []time.Time
 }
 
 // Set changes the bounds. A change of the window resets the counts.
@@ -46,31 +52,36 @@
 	n := windowBuckets + int64(max(0, now.Sub(b.epoch))/b.bucketLength)
 	i := int(n % windowBuckets)
 	if b.numbers[i] != n {
-		b.numbers[i] = n
-		b.buckets[i].requests, b.buckets[i].retries = 0, 0
+		b.numbers[i], b.requests[i] = n, 0
 	}
 	return i
 }
 
 // Count counts one request.
-func (b *RetryBudget) Count(now time.Time) { b.buckets[b.advance(now)].requests++ }
+func (b *RetryBudget) Count(now time.Time) { b.requests[b.advance(now)]++ }
 
-// Spend takes one retry from the budget and reports whether one was left.
+// Spend takes one retry from the budget and reports whether one was left. Requests count
+// in buckets that lie within the window, and retries by their exact time: one that is
+// forgotten early could be replaced within the same window.
 func (b *RetryBudget) Spend(now time.Time) bool {
 	if b.bucketLength <= 0 {
 		return false
 	}
 	i := b.advance(now)
-	requests, retries := 0, 0
-	for k, bucket := range b.buckets {
+	requests := 0
+	for k, n := range b.requests {
 		if b.numbers[k] > 0 && b.numbers[i]-b.numbers[k] < windowBuckets {
-			requests += bucket.requests
-			retries += bucket.retries
+			requests += n
 		}
 	}
-	if float64(retries+1) > b.ratio*float64(requests)+b.allowance {
+	expired := 0
+	for expired < len(b.retries) && now.Sub(b.retries[expired]) >= windowBuckets*b.bucketLength {
+		expired++
+	}
+	b.retries = slices.Delete(b.retries, 0, expired)
+	if float64(len(b.retries)+1) > b.ratio*float64(requests)+b.allowance {
 		return false
 	}
-	b.buckets[i].retries++
+	b.retries = append(b.retries, now)
 	return true
 }
