--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -89,7 +89,7 @@
 func NewGateway(p *parser.Process, log *slog.Logger, dropped func() int64) (*Gateway, error) {
 	start := time.Now()
 	o := p.Gateway()
-	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform())}
+	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log)}
 	g.expiry.Hold = time.Duration(expiryHoldFraction * float64(o.UpstreamDrainTimeout()))
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
--- a/runner/register_test.go
+++ b/runner/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 	for i := range 3 {
 		entries = append(entries, s.start(fmt.Sprint("e", i), "1s"))
 	}
-	client := platform.NewStore(s.addr)
+	client := platform.NewStore(s.addr, slog.New(slog.DiscardHandler))
 	await := func() {
 		t.Helper()
 		for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
