forwarder: upstreams that a relayed request reached before count as attempts

What upstreams saw: while most entries are partitioned from the upstreams and these reject requests, a request reaches up to six of them where its route allows two, and a service gets 916 to 1,258 repeats in 10 s where 360 are allowed. Cause: the entry that relays a request took a rejection by another entry for one without any attempt, and relayed the request to a further entry, which sent it to two upstreams again. Found by looking for repeats that no entry counts. Change: an entry states in the rejection of a relayed request how many upstreams it sent it to. The relaying entry counts them as attempts, and takes a retry from its budget before it asks another entry.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -22,6 +22,10 @@
 // requests that are relayed. The response is 204 if it does.
 const headerRelayQuery = "Poplar-Relay-Query"
 
+// headerAttempts is the header of a rejection of a relayed request. Its value is the number
+// of upstreams that the rejecting entry sent the request to.
+const headerAttempts = "Poplar-Attempts"
+
 const (
 	// maxRelays is the number of entries that a request is sent to, one after the other.
 	maxRelays = 3
@@ -82,6 +86,9 @@
 				fasthttp.ReleaseResponse(rejection)
 			}
 			rejection = o.resp
+			if n := x.attemptsOf(rejection); n > 0 && !x.mayResend(n) {
+				break
+			}
 		}
 		if o.resp == nil && o.sent && !x.mayRepeat() {
 			break
@@ -97,12 +104,35 @@
 	}
 }
 
+// attemptsOf returns the number of upstreams that another entry sent the request to before
+// it rejected it, and removes it from the rejection. A malformed one counts as all that the
+// route allows.
+func (x *exchange) attemptsOf(rejection *fasthttp.Response) int {
+	v := rejection.Header.Peek(headerAttempts)
+	if len(v) == 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(string(v))
+	if err != nil || n < 0 {
+		x.forwarder.options.Log.Warn("attempts of a relayed request can't be parsed", "request", string(x.id), "value", string(v))
+		n = x.route.Attempts
+	}
+	rejection.Header.Del(headerAttempts)
+	return n
+}
+
 // mayRepeat records that the request may have run at an upstream that another entry sent
 // it to, and reports whether it may be sent again. A retry is then taken from the budget.
 func (x *exchange) mayRepeat() bool {
 	x.mayHaveRun = true
-	x.earlier++
-	if !x.route.Idempotent || x.attempts() >= x.route.Attempts || x.caller.Err() != nil {
+	return x.route.Idempotent && x.mayResend(1)
+}
+
+// mayResend records that another entry sent the request to n upstreams, and reports whether
+// it may be sent to a further one. A retry is then taken from the budget.
+func (x *exchange) mayResend(n int) bool {
+	x.earlier += n
+	if x.attempts() >= x.route.Attempts || x.caller.Err() != nil {
 		return false
 	}
 	x.service.mu.Lock()
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -50,6 +50,9 @@
 	status := x.status(res.err)
 	resp := x.call.Response
 	resp.SetStatusCode(status)
+	if x.relayed && len(x.attempted) > 0 {
+		resp.Header.Set(headerAttempts, strconv.Itoa(len(x.attempted)))
+	}
 	if status == fasthttp.StatusServiceUnavailable {
 		retryAfter := max(x.retryAfter, minRetryAfter)
 		resp.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/runner/pause_cluster_test.go
+++ b/runner/pause_cluster_test.go
@@ -275,3 +275,62 @@
 		})
 	}
 }
+
+// TestRepeatsOfRelayedRequests partitions most entries from all upstreams, which reject a
+// part of all requests: a relayed request that was rejected at upstreams is repeated by
+// further entries only as far as the retry budget and the attempts of its route allow.
+func TestRepeatsOfRelayedRequests(t *testing.T) {
+	for seed, share := range []float64{1, 0.7} {
+		t.Run(fmt.Sprint("share=", share), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 500+uint64(seed), 12)
+				defer c.close()
+				for range 16 {
+					c.add()
+				}
+				time.Sleep(14 * time.Second)
+				c.load(4*time.Second, 150)
+				c.mu.Lock()
+				for i, n := range c.nodes {
+					if i >= 4 {
+						n.partition = partitionRefuses
+					}
+				}
+				c.mu.Unlock()
+				c.load(3*time.Second, 150)
+				c.setPauses(12, share, 0, false)
+				for i := range 4500 {
+					time.Sleep(time.Second / 150)
+					go func() {
+						n := c.running()
+						c.mu.Lock()
+						c.requestedAt = append(c.requestedAt, time.Now())
+						id := fmt.Sprint("any", i)
+						c.mu.Unlock()
+						n.request(id, "GET", "/read/a")
+					}()
+				}
+				time.Sleep(2 * time.Second)
+				c.checkRepeats()
+				c.checkMostArrivals(2)
+			})
+		})
+	}
+}
+
+// checkMostArrivals checks that no request reached upstreams more often than its route
+// allows.
+func (c *cluster) checkMostArrivals(attempts int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most, over := 0, 0
+	for _, n := range c.arrived {
+		most = max(most, n)
+		if n > attempts {
+			over++
+		}
+	}
+	if over > 0 {
+		c.t.Errorf("got: %d requests that reached upstreams up to %d times want: at most %d", over, most, attempts)
+	}
+}
