--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -9,10 +9,14 @@
 )
 
 // parseResponse parses the protocol headers of a response of the upstream, to whatever
-// request, and records the pause that it asks for.
+// request, and records the pause that it asks for, unless another upstream responded at its
+// address.
 func (x *exchange) parseResponse(u *placer.Upstream, resp *fasthttp.Response, source statementSource) ResponseInfo {
 	now := time.Now()
 	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, now)
+	if info.Misdirected || info.Instance != "" && info.Instance != u.ID() {
+		return info
+	}
 	if info.PauseError != nil {
 		x.forwarder.options.Log.Warn("pause that upstream asks for can't be parsed", "upstream", u.ID(), "service", x.service.name, "source", source.String(), "request", string(x.id), "error", info.PauseError.Error())
 	}
