placer, forwarder, runner: upstreams that say that they leave get no more requests

Cause: Server-Leaving in an answer was not decoded; only the store said who leaves, and an entry used an upstream for as long as the store listed it as ready, was away, or had been restored from an older copy. Change: an entry that gets an answer that says so, also to a load probe, sends that process nothing more, closes its idle connections and tells the entries assigned to the service (/peer/leaving). Those use it only when no other has room: a report may be wrong, and an upstream that only says so serves on. The state of a process outlasts the removal and return of its record, and ends with the process. An upstream that bars an entry in the response to a load probe counts as reached, not as unresponsive. Ruled out: ending it when a later answer does not say so, since answers cross.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -135,7 +135,7 @@
 		if errors.Is(err, pooler.ErrConnLimit) {
 			return true
 		}
-		if err == nil && x.service.paused(u) {
+		if err == nil && x.service.barred(u) {
 			x.forwarder.pool.Discard(c)
 			return true
 		}
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -47,6 +47,8 @@
 	// response states a limit that can't be parsed.
 	RateLimit               float64
 	Limited, LimitMalformed bool
+	// Leaving reports that the upstream says that it leaves.
+	Leaving bool
 	// Pause is the time for which the upstream asks this entry to send it no requests,
 	// 0 if it asks for none. PauseError reports that it asks for one that can't be
 	// parsed.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -24,6 +24,7 @@
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
 	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
 	errPaused       = errors.ConstError("all upstreams have asked for pauses")
+	errBarred       = errors.ConstError("upstream wants no requests")
 	errQuarantined  = errors.ConstError("upstreams crash when they run this request")
 	errCutOff       = errors.ConstError("upstreams are out of reach, and no other entry took the request")
 	errNoUpstream   = errors.ConstError("service has no upstream")
--- a/forwarder/pause.go
+++ b/forwarder/pause.go
@@ -9,8 +9,8 @@
 )
 
 // parseResponse parses the protocol headers of a response of the upstream, to whatever
-// request, and records the pause that it asks for, unless another upstream responded at its
-// address.
+// request, and records whether it leaves and the pause that it asks for, unless another
+// upstream responded at its address.
 func (x *exchange) parseResponse(u *placer.Upstream, resp *fasthttp.Response, source statementSource) ResponseInfo {
 	now := time.Now()
 	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, now)
@@ -20,6 +20,9 @@
 	if info.PauseError != nil {
 		x.forwarder.options.Log.Warn("pause that upstream asks for can't be parsed", "upstream", u.ID(), "service", x.service.name, "source", source.String(), "request", string(x.id), "error", info.PauseError.Error())
 	}
+	if info.Leaving {
+		x.recordLeaving(u, source)
+	}
 	if info.Pause > 0 {
 		x.recordPause(now, u, info.Pause, source)
 	}
@@ -38,9 +41,10 @@
 	}
 }
 
-// paused reports whether the upstream has asked this entry for a pause that has not ended.
-func (s *service) paused(u *placer.Upstream) bool {
+// barred reports whether the upstream has told this entry that it wants no requests now: it
+// leaves, or has asked for a pause.
+func (s *service) barred(u *placer.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return u.Paused(time.Now())
+	return u.Departure() == placer.Leaving || u.Paused(time.Now())
 }
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/placer"
@@ -36,6 +37,9 @@
 	err     error
 }
 
+// responded reports whether the upstream responded to its load probe.
+func (c *candidate) responded() bool { return c.conn != nil || errors.Is(c.err, errBarred) }
+
 // probeRound collects the results of the load probes for one request.
 type probeRound struct {
 	pool *pooler.Pool
@@ -61,7 +65,7 @@
 // or a lost connection of this entry, and counting the failures would eject
 // healthy upstreams. The lock must be held.
 func (r *probeRound) recordResult(cand candidate) {
-	if cand.conn != nil {
+	if cand.responded() {
 		r.responded++
 	} else {
 		r.failed = append(r.failed, cand.upstream)
@@ -274,8 +278,8 @@
 	}
 	if err == nil {
 		pool.Discard(c)
-		if x.service.paused(u) {
-			return candidate{upstream: u, err: errPaused}
+		if x.service.barred(u) {
+			return candidate{upstream: u, err: errBarred}
 		}
 		// The pooled connection may have been stale: retry on a new one.
 		if c, err = pool.NewConn(ctx, u.Addr(), limit); err == nil {
@@ -358,7 +362,7 @@
 		return ResponseInfo{}, false
 	}
 	info := x.parseResponse(u, resp, sourceProbe)
-	usable := !resp.ConnectionClose() && len(info.ID) == 0 && !info.Stamped && c.Clean()
+	usable := !resp.ConnectionClose() && !info.Leaving && len(info.ID) == 0 && !info.Stamped && c.Clean()
 	if info.NotRun {
 		c.SetRejected()
 	}
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -61,6 +61,6 @@
 // sent for want of a connection says nothing.
 func (x *exchange) recordReach(cand candidate) {
 	if !errors.Is(cand.err, pooler.ErrConnLimit) {
-		x.forwarder.options.Reach.RecordProbe(time.Now(), cand.upstream.Addr(), cand.conn != nil)
+		x.forwarder.options.Reach.RecordProbe(time.Now(), cand.upstream.Addr(), cand.responded())
 	}
 }
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -49,7 +49,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errPaused):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred):
 		return placer.Abandoned
 	default:
 		return placer.Failed
@@ -67,9 +67,9 @@
 	case x.quarantined():
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errQuarantined
-	case x.service.paused(cand.upstream):
+	case x.service.barred(cand.upstream):
 		x.forwarder.pool.Put(cand.conn)
-		o.err = errPaused
+		o.err = errBarred
 	default:
 		x.attempted = append(x.attempted, cand.upstream)
 		x.roundTrip(cand, &o)
@@ -105,7 +105,7 @@
 	o.notRun = info.NotRun
 	x.applyResponseInfo(u, info, cand.attempt.StartedAt(), sourceRequest)
 	early := len(x.call.Request.Body()) > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
-	if o.disconnected || early || o.resp.ConnectionClose() || !c.Clean() {
+	if o.disconnected || early || info.Leaving || o.resp.ConnectionClose() || !c.Clean() {
 		f.pool.Discard(c)
 		return
 	}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -87,7 +87,7 @@
 func (s *service) remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Remove(id)
+	s.fleet.Remove(time.Now(), id)
 }
 
 // admit returns the service time of a route, a request of which is counted for the retry
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"poplarwind/placer"
 )
 
 // ServiceStatus is the state of one service at an entry.
@@ -29,7 +31,10 @@
 	Domain   string `json:"domain"`
 	Draining bool   `json:"leaving,omitempty"`
 	Ejected  bool   `json:"ejected,omitempty"`
-	Load     Load   `json:"load"`
+	// Departure is what the upstream has told this entry or another of its departure,
+	// empty if nothing.
+	Departure string `json:"departure,omitempty"`
+	Load      Load   `json:"load"`
 	// RateLimit is the rate limit in requests per second that the upstream states
 	// for all entries together, nil if it states none.
 	RateLimit *float64 `json:"limit,omitempty"`
@@ -71,6 +76,9 @@
 			ID: spec.ID, Addr: spec.Addr, Domain: spec.Domain, Draining: spec.Draining, Ejected: u.Ejected(now), Load: loadOf(u, now),
 			PauseLeft: max(0, u.PauseEnd().Sub(now)), SentWhilePaused: u.SentWhilePaused(),
 		}
+		if d := u.Departure(); d != placer.Staying {
+			status.Departure = d.String()
+		}
 		if limit := u.RateLimit(); limit.Limited {
 			status.RateLimit, status.LimitFraction, status.Sent = &limit.Rate, u.LimitFraction(), u.SentWhileLimited()
 		}
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -43,6 +43,7 @@
 		ID: h.Peek("Id"), Instance: string(h.Peek("Instance")), Stamped: len(h.Peek("Stamp")) > 0,
 		NotRun: len(h.Peek("Not-Run")) > 0, Misdirected: h.StatusCode() == fasthttp.StatusMisdirectedRequest,
 	}
+	info.Leaving = len(h.Peek("Leaving")) > 0
 	if v := h.Peek("Pause"); len(v) > 0 {
 		info.Pause, info.PauseError = time.ParseDuration(string(v))
 	}
@@ -87,12 +88,14 @@
 	shedPauseUnnamed fault = "sheds without an ID and asks for a pause"
 	shedPauseCut     fault = "sheds, asks for a pause and cuts the body off"
 	shedPauseStale   fault = "asks for a pause in response to an earlier request"
+	// leaves responds and says that the upstream leaves.
+	leaves fault = "says that it leaves"
 )
 
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, shed, misdirected,
 	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
-	shedPause, shedPauseUnnamed, shedPauseCut, shedPauseStale,
+	shedPause, shedPauseUnnamed, shedPauseCut, shedPauseStale, leaves,
 }
 
 // rejection is a response that states that its request did not run, without its ID.
@@ -113,9 +116,10 @@
 	unresponsive map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
 	reached map[string]int
-	// pausingProbes is set if upstreams reject load probes and ask for a pause.
-	pausingProbes bool
-	conns         []net.Conn
+	// pausingProbes is set if upstreams reject load probes and ask for a pause, and
+	// leavingProbes if they say in load probes that they leave.
+	pausingProbes, leavingProbes bool
+	conns                        []net.Conn
 }
 
 func (tb *testbed) nextFault() fault {
@@ -186,7 +190,10 @@
 		if tb.reached != nil {
 			tb.reached[addr]++
 		}
-		load, unresponsive, pausing := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes
+		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes, ""
+		if tb.leavingProbes {
+			leaving = "Leaving: 1\r\n"
+		}
 		tb.mu.Unlock()
 		if string(req.Header.RequestURI()) == "/health" {
 			if unresponsive {
@@ -196,7 +203,7 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
 				return
 			}
-			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d\r\nContent-Length: 0\r\n\r\n", addr, load); err != nil {
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\n%sLoad: %d\r\nContent-Length: 0\r\n\r\n", addr, leaving, load); err != nil {
 				return
 			}
 			continue
@@ -280,6 +287,8 @@
 	case shedPauseStale:
 		write("HTTP/1.1 503 Service Unavailable\r\nId: earlier\r\nNot-Run: 1\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
 		return complete("")
+	case leaves:
+		return complete("Leaving: 1\r\n")
 	case closeAfter:
 		complete("Connection: close\r\n")
 		return false
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -49,7 +49,7 @@
 	if u.limit.stated.Limited {
 		u.limit.take(now, f.randFloat())
 	}
-	u.pause.start(now)
+	u.process.pause.start(now)
 	return a
 }
 
@@ -69,7 +69,7 @@
 	u := a.upstream
 	u.inFlight--
 	if r != Abandoned {
-		u.pause.finish(a.startedAt)
+		u.process.pause.finish(a.startedAt)
 	}
 	switch r {
 	case Answered:
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -19,8 +19,8 @@
 
 	// upstreams holds each upstream once, in insertion order.
 	upstreams []*Upstream
-	// removedPauses holds the pauses of upstreams that were removed, by ID.
-	removedPauses map[string]removedPause
+	// removedProcesses holds the state of processes whose records were removed, by ID.
+	removedProcesses map[string]removedProcess
 	// avgLatency is the moving average of the time from send to response.
 	avgLatency time.Duration
 	// saturationFactor is the factor by which a request takes longer at a
@@ -43,13 +43,13 @@
 }
 
 // Put adds or updates an upstream. If its process was restarted under the same
-// ID, or its address changed, its previous state is discarded, except for a pause that
-// the same process has asked for.
+// ID, or its address changed, its previous state is discarded, except for what the
+// same process has said about itself.
 func (f *Fleet) Put(now time.Time, s Spec) {
 	u := f.Find(s.ID)
 	if u == nil || u.spec.StartedAt != s.StartedAt || u.spec.Addr != s.Addr {
-		f.Remove(s.ID)
-		u = &Upstream{pause: f.takePause(now, s)}
+		f.Remove(now, s.ID)
+		u = &Upstream{process: f.takeProcess(s)}
 		f.upstreams = append(f.upstreams, u)
 	}
 	u.spec = s
@@ -58,12 +58,12 @@
 
 // Remove deletes an upstream. Finish must still be called for its requests in
 // flight.
-func (f *Fleet) Remove(id string) {
+func (f *Fleet) Remove(now time.Time, id string) {
 	i := slices.IndexFunc(f.upstreams, func(u *Upstream) bool { return u.spec.ID == id })
 	if i < 0 {
 		return
 	}
-	f.keepPause(f.upstreams[i])
+	f.keepProcess(now, f.upstreams[i])
 	f.upstreams[i].removed = true
 	f.upstreams = slices.Delete(f.upstreams, i, i+1)
 }
@@ -119,6 +119,9 @@
 	if u.spec.Domain != f.Domain {
 		c += crossDomainCost
 	}
+	if u.process.departure == ReportedLeaving {
+		c += leavingCost
+	}
 	return c
 }
 
@@ -265,10 +268,10 @@
 }
 
 // Ideal reports whether other upstreams of the same scope could hardly be
-// better than u, whose report must be recent: it works at its typical speed,
-// seldom fails, and is not saturated.
+// better than u, whose report must be recent: it does not leave, works at its typical
+// speed, seldom fails, and is not saturated.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.Usable(now) && u.slowness(now) <= maxTypicalSlowness && !u.saturated(now) && u.recentFailureRate(now) < maxTypicalFailureRate
+	return u.Usable(now) && u.process.departure == Staying && u.slowness(now) <= maxTypicalSlowness && !u.saturated(now) && u.recentFailureRate(now) < maxTypicalFailureRate
 }
 
 // LocalSuffices reports whether no upstream of another failure domain can be
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -54,14 +54,14 @@
 }
 
 // Paused reports whether the upstream has asked this entry for a pause that has not ended.
-func (u *Upstream) Paused(now time.Time) bool { return now.Before(u.pause.until) }
+func (u *Upstream) Paused(now time.Time) bool { return now.Before(u.process.pause.until) }
 
 // PauseEnd returns the end of the last pause that the upstream has asked for, zero if
 // there was none or requests are sent again.
-func (u *Upstream) PauseEnd() time.Time { return u.pause.until }
+func (u *Upstream) PauseEnd() time.Time { return u.process.pause.until }
 
 // SentWhilePaused returns the number of requests sent to the upstream during pauses.
-func (u *Upstream) SentWhilePaused() int64 { return u.pause.sent }
+func (u *Upstream) SentWhilePaused() int64 { return u.process.pause.sent }
 
 // RecordPause records that the upstream asks this entry for a pause. A pause never ends
 // earlier than it was asked for before. RecordPause reports whether a pause begins: there
@@ -71,53 +71,19 @@
 		return false
 	}
 	begins := !u.Paused(now)
-	if until := now.Add(pause + time.Duration(pauseJitter*f.randFloat()*float64(pause))); until.After(u.pause.until) {
-		u.pause.until, u.pause.trialAt = until, time.Time{}
+	if until := now.Add(pause + time.Duration(pauseJitter*f.randFloat()*float64(pause))); until.After(u.process.pause.until) {
+		u.process.pause.until, u.process.pause.trialAt = until, time.Time{}
 	}
 	return begins
 }
 
-// removedPause is the pause of a process of an upstream that was removed meanwhile.
-type removedPause struct {
-	startedAt int64
-	pause     pauseState
-}
-
-// keepPause keeps the pause of an upstream that is removed: its record may return, and its
-// process then still wants the pause.
-func (f *Fleet) keepPause(u *Upstream) {
-	if u.pause.until.IsZero() {
-		return
-	}
-	if f.removedPauses == nil {
-		f.removedPauses = make(map[string]removedPause)
-	}
-	f.removedPauses[u.spec.ID] = removedPause{startedAt: u.spec.StartedAt, pause: u.pause}
-}
-
-// takePause returns the pause of the process of an upstream that was removed before, and
-// forgets all those that have ended.
-func (f *Fleet) takePause(now time.Time, s Spec) pauseState {
-	kept := f.removedPauses[s.ID]
-	delete(f.removedPauses, s.ID)
-	for id, p := range f.removedPauses {
-		if !now.Before(p.pause.until) {
-			delete(f.removedPauses, id)
-		}
-	}
-	if kept.startedAt != s.StartedAt {
-		return pauseState{}
-	}
-	return kept.pause
-}
-
 // PauseLeft returns the time until the first upstream may be usable again, if none is
 // because of pauses. It reports false if an upstream is usable, or none is paused.
 func (f *Fleet) PauseLeft(now time.Time) (time.Duration, bool) {
 	var end time.Time
 	paused := false
 	for _, u := range f.upstreams {
-		if u.removed || u.spec.Draining {
+		if u.removed || u.spec.Draining || u.process.departure == Leaving {
 			continue
 		}
 		if u.Usable(now) {
@@ -125,8 +91,8 @@
 		}
 		paused = paused || u.Paused(now)
 		usableAt := u.ejectedUntil
-		if u.pause.until.After(usableAt) {
-			usableAt = u.pause.until
+		if u.process.pause.until.After(usableAt) {
+			usableAt = u.process.pause.until
 		}
 		if end.IsZero() || usableAt.Before(end) {
 			end = usableAt
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -62,7 +62,7 @@
 		}
 		f.Put(p.now, s)
 	case "remove":
-		f.Remove(args[1])
+		f.Remove(p.now, args[1])
 	case "report": // report id running waiting slowness
 		f.RecordReport(u, Report{Running: int(p.parseFloat(args[2])), Waiting: int(p.parseFloat(args[3])), Slowness: p.parseFloat(args[4]), At: p.now})
 	case "limit": // limit id rate [age in milliseconds]
@@ -79,6 +79,12 @@
 		f.SetLimitFraction(p.now, u, p.parseFloat(args[2]), entries)
 	case "unreported":
 		return joinIDs(f.TakeUnreported(nil, p.now))
+	case "leaving":
+		return fmt.Sprint(f.RecordLeaving(u))
+	case "peerleaving": // peerleaving id start, a report of another entry
+		return fmt.Sprint(f.ApplyLeavingReport(args[1], int64(p.parseFloat(args[2]))) != nil)
+	case "unreportedleaving":
+		return joinIDs(f.TakeUnreportedLeaving(nil))
 	case "pause": // pause id milliseconds
 		return fmt.Sprint(f.RecordPause(p.now, u, time.Duration(p.parseFloat(args[2]))*time.Millisecond))
 	case "pauseleft": // pauseleft, in tenths of a second
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -48,7 +48,7 @@
 	report           Report
 	inFlightAtReport int
 	limit            limitState
-	pause            pauseState
+	process          processState
 	// consecutiveFailures counts failed requests since the last success.
 	consecutiveFailures int
 	// failureRate is the moving average of failed requests as of failureRateAt.
@@ -107,12 +107,12 @@
 
 // Usable reports whether requests may be sent to the upstream, within its rate limit.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.removed && !u.spec.Draining && !u.Ejected(now) && !u.Paused(now)
+	return !u.removed && !u.spec.Draining && u.process.departure != Leaving && !u.Ejected(now) && !u.Paused(now)
 }
 
 // available reports whether a request may be sent to the upstream now.
 func (u *Upstream) available(now time.Time) bool {
-	return u.Usable(now) && u.limit.allows(now) && u.pause.allows(now)
+	return u.Usable(now) && u.limit.allows(now) && u.process.pause.allows(now)
 }
 
 const (
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -198,6 +198,18 @@
 	return len(idle) > 0 && inspector.Open(idle[len(idle)-1].net)
 }
 
+// CloseIdle closes the idle connections to addr.
+func (p *Pool) CloseIdle(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.server(addr)
+	for _, c := range s.idle {
+		c.close()
+		s.open--
+	}
+	s.idle = nil
+}
+
 // Trim closes connections whose idle limit has passed.
 func (p *Pool) Trim() {
 	oldest := time.Now().Add(-maxIdle)
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -38,6 +38,7 @@
 
 func (clusterDialect) ParseResponse(h *fasthttp.ResponseHeader, now time.Time) forwarder.ResponseInfo {
 	info := forwarder.ResponseInfo{ID: h.Peek("Id"), Stamped: len(h.Peek("Id")) > 0, HasLoad: true, Load: placer.Report{Slots: 8, Slowness: 1, At: now}}
+	info.Leaving = len(h.Peek("Leaving")) > 0
 	info.NotRun = len(h.Peek("Not-Run")) > 0
 	if v := h.Peek("Pause"); len(v) > 0 {
 		info.Pause, info.PauseError = time.ParseDuration(string(v))
@@ -63,6 +64,10 @@
 	// told holds when each entry first received a response with the limit.
 	told   map[string]time.Time
 	pauses clusterPauses
+	// leaving is set while it says that it leaves, and toldLeaving holds when each entry
+	// first received a response that says so.
+	leaving     bool
+	toldLeaving map[string]time.Time
 	// down is set while the upstream does not run. Boot counts its starts.
 	down  bool
 	boot  int64
@@ -271,6 +276,9 @@
 		}
 		c.mu.Unlock()
 		id := ""
+		if leaving := c.stateLeaving(n, u); leaving != "" {
+			limit += leaving
+		}
 		if !probe {
 			id = fmt.Sprintf("Id: %s\r\n", req.Header.Peek("Id"))
 		}
@@ -316,6 +324,9 @@
 		if reports := n.forwarder.TakeLimitReports(); len(reports) > 0 {
 			go c.deliver(n, reports, delay)
 		}
+		if reports := n.forwarder.TakeLeavingReports(); len(reports) > 0 {
+			go c.deliverLeaving(n, reports, delay)
+		}
 	}
 }
 
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -242,7 +242,7 @@
 	tasks := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.quarantiner.Run, g.monitor.Run,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.quarantiner.Run, g.monitor.Run,
 	}
 	for _, f := range tasks {
 		group.Go(func() error { return f(taskCtx) })
--- a/runner/limit.go
+++ b/runner/limit.go
@@ -22,8 +22,6 @@
 	// limitReportInterval is how often an entry checks for rate limits that it has to
 	// report to others.
 	limitReportInterval = 200 * time.Millisecond
-	// limitReportTimeout bounds the wait for the response to a report.
-	limitReportTimeout = 500 * time.Millisecond
 	// maxLimitReports bounds the reports in one message.
 	maxLimitReports = 4096
 )
@@ -85,19 +83,7 @@
 		g.log.Error("rate limits can't be encoded", "service", reports[0].Service, "error", err.Error())
 		return
 	}
-	for _, m := range g.membership().limitRecipients(reports[0]) {
-		if m.Name == g.process.Name() {
-			continue
-		}
-		go func() {
-			limited, cancel := context.WithTimeout(ctx, limitReportTimeout)
-			defer cancel()
-			var none struct{}
-			if err := g.announcer.Send(limited, m, pathLimits, message, &none); err != nil {
-				g.log.Debug("rate limits not delivered to peer", "to", m.Name, "error", err.Error())
-			}
-		}()
-	}
+	g.broadcast(ctx, g.membership().limitRecipients(reports[0]), pathLimits, message)
 }
 
 // receiveLimits applies a message with rate limits. A malformed one has no effect; the
