--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -43,6 +43,9 @@
 	StoreEra func() uint64
 	// StoreCalls returns the number of calls made to the store.
 	StoreCalls func() int64
+	// UnreadHeaders returns the number of headers of responses that nothing reads, by
+	// name.
+	UnreadHeaders func() map[string]int64
 	// DroppedLogLines returns the number of dropped log lines.
 	DroppedLogLines func() int64
 }
@@ -92,16 +95,21 @@
 func (g *Gateway) registerCounters(meter metric.Meter) error {
 	for _, v := range []struct {
 		name, description string
-		read              func(s *forwarder.ServiceStatus) int64
+		read              func(o metric.Observer, i metric.Int64Observable)
 	}{
-		{"poplarwind.retries", "Requests sent to a further upstream, by service.", func(s *forwarder.ServiceStatus) int64 { return s.Retries }},
-		{"poplarwind.retries.denied", "Requests not sent to a further upstream for want of retry budget, by service.", func(s *forwarder.ServiceStatus) int64 { return s.RetriesDenied }},
-		{"poplarwind.upstreams.sent_in_pauses", "Requests sent to upstreams during pauses that these asked for, by service.", func(s *forwarder.ServiceStatus) int64 {
+		{"poplarwind.retries", "Requests sent to a further upstream, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return s.Retries })},
+		{"poplarwind.retries.denied", "Requests not sent to a further upstream for want of retry budget, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return s.RetriesDenied })},
+		{"poplarwind.upstreams.sent_in_pauses", "Requests sent to upstreams during pauses that these asked for, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 {
 			var n int64
 			for _, u := range s.Upstreams {
 				n += u.SentWhilePaused
 			}
 			return n
+		})},
+		{"poplarwind.headers.unread", "Headers of responses that nothing reads, by name.", func(o metric.Observer, i metric.Int64Observable) {
+			for name, n := range g.sources.UnreadHeaders() {
+				o.ObserveInt64(i, n, metric.WithAttributes(attribute.String("name", name)))
+			}
 		}},
 	} {
 		i, err := meter.Int64ObservableCounter(v.name, metric.WithDescription(v.description))
@@ -109,9 +117,7 @@
 			return errors.Trace(err)
 		}
 		_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-			for _, s := range g.sources.Forwarder.Status() {
-				o.ObserveInt64(i, v.read(&s), metric.WithAttributes(attribute.String("service", s.Name)))
-			}
+			v.read(o, i)
 			return nil
 		}, i)
 		if err != nil {
@@ -121,6 +127,15 @@
 	return nil
 }
 
+// perService returns a callback that observes one value of each service.
+func (g *Gateway) perService(value func(*forwarder.ServiceStatus) int64) func(metric.Observer, metric.Int64Observable) {
+	return func(o metric.Observer, i metric.Int64Observable) {
+		for _, s := range g.sources.Forwarder.Status() {
+			o.ObserveInt64(i, value(&s), metric.WithAttributes(attribute.String("service", s.Name)))
+		}
+	}
+}
+
 // registerGauges registers the gauges that are read at each scrape.
 func (g *Gateway) registerGauges(meter metric.Meter) error {
 	for _, v := range []struct {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -89,7 +89,8 @@
 func NewGateway(p *parser.Process, log *slog.Logger, dropped func() int64) (*Gateway, error) {
 	start := time.Now()
 	o := p.Gateway()
-	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log)}
+	unread := platform.NewUnreadHeaders(log)
+	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log, unread)}
 	g.expiry.Hold = time.Duration(expiryHoldFraction * float64(o.UpstreamDrainTimeout()))
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
@@ -116,7 +117,7 @@
 	g.requestLog = reporter.NewRequestLogger(log)
 	ratio, extra, window := o.RetryBudget()
 	g.forwarder = forwarder.New(forwarder.Options{
-		Dialect: platform.Dialect{}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Log: log,
+		Dialect: platform.Dialect{Unread: unread}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Quarantine:  quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
@@ -132,7 +133,7 @@
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
