upgrader: entries of two builds side by side

Change: `make upgrade` builds the production commit of deploy/system.toml and the present tree, runs five entries as processes against the fakes of the platform, and replaces them under load: forward, back and forward again with new configurations in between; and an upgrade that stops halfway while upstreams state a rate limit and ask for pauses, the store is away and restored, and entries are killed and frozen. Checked from what callers and upstreams saw: at most once, true rejections, whole responses, no 404, configurations in force within 2 s, 99 in 100 served (90 in 100 during kills and freezes).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test bench added capacity claims race lint generate
+.PHONY: build demo upgrade test bench added capacity claims race lint generate
 
 build:
 	@mkdir -p bin
@@ -31,5 +31,8 @@
 race:
 	./scripts/test.sh -race ./quarantiner ./reacher ./relayer ./runner ./pipeliner ./announcer ./watcher ./claimer ./prober ./resolver ./pooler ./limiter ./dispatcher ./internal/ring ./internal/logger ./forwarder ./tracker ./platform ./reporter
 
+upgrade:
+	./scripts/upgrade.sh
+
 claims: build
 	./scripts/claims.sh
--- /dev/null
+++ b/internal/upgrader/upstream.go
@@ -0,0 +1,89 @@
+package upgrader
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// work is how long an upstream takes for a request.
+const work = 10 * time.Millisecond
+
+// Upstream is a fake upstream that counts the runs of each request. It can state a rate limit,
+// a pause with a part of its responses, and that it leaves.
+type Upstream struct {
+	id string
+
+	mu sync.Mutex
+	// runs counts how often each request ran, and arrivals all requests.
+	runs     map[string]int
+	arrivals int
+	// limit is the rate limit in requests per second, 0 for none. One of rejectEvery requests
+	// is rejected with a pause of the given seconds, none if it is 0.
+	limit, pause float64
+	rejectEvery  int
+}
+
+// SetLimit sets the rate limit that the upstream states, in requests per second, 0 for none.
+func (u *Upstream) SetLimit(rate float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = rate
+}
+
+// SetPause makes the upstream reject one of every requests, 0 meaning none, and ask for a
+// pause of the given seconds.
+func (u *Upstream) SetPause(every int, seconds float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rejectEvery, u.pause = every, seconds
+}
+
+// Runs returns how often a request ran.
+func (u *Upstream) Runs(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
+func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
+	h := &ctx.Response.Header
+	h.Set("Server-Load", "0,0,60,100")
+	if string(ctx.Path()) == "/healthz" {
+		h.Set("Instance-Id", u.id)
+		return
+	}
+	id := string(ctx.Request.Header.Peek("Request-Id"))
+	h.Set("Request-Id", id)
+	if string(ctx.Request.Header.Peek("Target-Instance")) != u.id {
+		h.Set("Not-Executed", "1")
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	if rejected, pause := u.arrive(id, h); rejected {
+		h.Set("Not-Executed", "1")
+		h.Set("Retry-After", strconv.FormatFloat(pause, 'f', -1, 64))
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(work)
+	h.Set("Response-Stamp", "s")
+	ctx.SetBodyString("whole " + id)
+}
+
+// arrive counts a request, and its run if it is not rejected.
+func (u *Upstream) arrive(id string, h *fasthttp.ResponseHeader) (rejected bool, pause float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.arrivals++
+	if u.limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(u.limit, 'f', -1, 64))
+	}
+	if u.rejectEvery > 0 && u.arrivals%u.rejectEvery == 0 {
+		return true, u.pause
+	}
+	u.runs[id]++
+	return false, 0
+}
