poplarctl: why finds what upstreams have stated of themselves

What operators saw: `poplarctl why` of a request that was rejected because of pauses or rate limits showed none of them. Cause: lines with the ID of another request were left out, and statements of upstreams name the request in whose response they came; pauses may also last longer than the time window. Change: these lines are found by service and upstream, for as long as they may hold.

--- a/cmd/poplarctl/why.go
+++ b/cmd/poplarctl/why.go
@@ -35,6 +35,8 @@
 	Name      string    `json:"name"`
 	// Fingerprint is the same for all copies of a request.
 	Fingerprint string `json:"fingerprint"`
+	// PauseMs is the length of a pause that an upstream asks for, in milliseconds.
+	PauseMs int64 `json:"pause_ms"`
 
 	text []byte
 }
@@ -105,14 +107,31 @@
 // reachable"; all four are matched, so that older log streams can be explained.
 var entryStateMessages = []string{"store unreachable", "store reachable", "store lost", "store answers", "configuration in force", "configuration refused", "entry started", "entry leaving"}
 
+// statementMessages are the messages about what an upstream has stated of itself in the
+// response to some request, with how long it may explain other requests, 0 meaning as long as
+// the log goes back.
+var statementMessages = map[string]func(logLine) time.Duration{
+	"upstream asks for a pause":      func(l logLine) time.Duration { return causeWindow + time.Duration(l.PauseMs)*time.Millisecond },
+	"upstream says that it leaves":   func(logLine) time.Duration { return 0 },
+	"rate limit of upstream changed": func(logLine) time.Duration { return 0 },
+}
+
 // mayExplain reports whether the line may name the cause of r, a line of a
 // request: it comes from the same entry, at most causeWindow earlier, or it is about
-// a copy of the request, at any entry and however long before.
+// a copy of the request, at any entry and however long before, or about a statement of an
+// upstream that may still hold.
 func (l logLine) mayExplain(r logLine) bool {
 	if r.Fingerprint != "" && l.Fingerprint == r.Fingerprint && l.Request != r.Request && !l.Time.After(r.Time) && l.Message != r.Message {
 		return true
 	}
-	if l.Time.After(r.Time) || r.Time.Sub(l.Time) > causeWindow || l.Entry != r.Entry || l.Request != "" {
+	if l.Time.After(r.Time) || l.Entry != r.Entry {
+		return false
+	}
+	if lasts, ok := statementMessages[l.Message]; ok {
+		window := lasts(l)
+		return l.Service == r.Service && (window == 0 || r.Time.Sub(l.Time) <= window) && (len(r.Upstreams) == 0 || slices.Contains(r.Upstreams, l.Upstream))
+	}
+	if r.Time.Sub(l.Time) > causeWindow || l.Request != "" {
 		return false
 	}
 	if slices.Contains(entryStateMessages, l.Message) {
