runner: test of rate limits, pauses and departures together

Cause: each statement of upstreams has tests of its own, and none had all three on the same upstreams.

--- a/runner/leaving_cluster_test.go
+++ b/runner/leaving_cluster_test.go
@@ -126,3 +126,37 @@
 		})
 	}
 }
+
+// TestStatementsTogether has upstreams state rate limits, ask for pauses and say that they
+// leave, partly the same ones, while entries join, are killed, frozen and cut off: each
+// statement must be kept as it is alone.
+func TestStatementsTogether(t *testing.T) {
+	for seed, n := range []int{8, 40} {
+		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 700+uint64(seed), 24)
+				defer c.close()
+				for range n {
+					c.add()
+				}
+				time.Sleep(4 * time.Second)
+				c.load(2*time.Second, 200)
+				c.setPauses(10, 0.4, 3*time.Second, false)
+				c.setLimits(4, 3, true)
+				c.load(8*time.Second, 200)
+				c.setLeaving(5)
+				sent, served := c.counts()
+				for range 10 {
+					c.fault()
+					c.load(2*time.Second, 200)
+				}
+				time.Sleep(2 * time.Second)
+				c.checkPauses()
+				c.checkRepeats()
+				c.checkLeaving()
+				c.checkLimits(4, 3)
+				c.checkShare(sent, served, 0.95)
+			})
+		})
+	}
+}
