reacher, forwarder: entries that are cut off from the upstreams of one service relay its requests

Cause: only the loss of all upstreams of all services counted as being cut off. Change: what an entry knows of its paths is kept for all services and for each one. Three upstreams of a service in a row that fail make it suspect; then up to twelve of the service are tried, and other entries are asked whether they reach it. Requests for the service are relayed as before to entries that say that they reach it. As a service whose upstreams are all down is more frequent than all services, checks that prove nothing come less and less often (0.3 to 2.4 s), and an entry tries upstreams for others once a second. Ruled out: relaying by single requests that fail (each waits for its own failures first). An entry of an earlier build ignores the name of the service in either question.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,7 +67,8 @@
 	// Quarantine holds the requests that are not forwarded because upstreams crash
 	// when they run them. Nil means a table of this entry alone.
 	Quarantine *quarantiner.Table
-	// Reach records which upstreams are reached. Nil means one of this entry alone.
+	// Reach records which upstreams of all services are reached. Nil means one of this
+	// entry alone.
 	Reach *reacher.Reach
 	// Relays returns the addresses of other entries that reach upstreams, in the order
 	// in which they are to be tried for a request for a service while this entry does
@@ -210,7 +211,7 @@
 	defer f.mu.Unlock()
 	s := f.services[name]
 	if s == nil {
-		s = &service{name: name, serviceTimes: make(map[string]*placer.ServiceTime)}
+		s = &service{name: name, reach: f.options.Reach.Service(name), serviceTimes: make(map[string]*placer.ServiceTime)}
 		s.fleet.Domain = f.options.Domain
 		s.updateLimits(f.options, time.Now())
 		f.services[name] = s
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -142,7 +141,7 @@
 // recently, because an upstream may close an idle connection just as the
 // request is written.
 func (x *exchange) connect(a *placer.Attempt) candidate {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := x.service.dialContext(probeTimeout)
 	defer cancel()
 	u := a.Upstream()
 	c, err := x.forwarder.pool.Get(ctx, u.Addr(), x.connLimit(), !x.route.Idempotent)
@@ -268,7 +267,7 @@
 
 // probe sends a load probe to one upstream.
 func (x *exchange) probe(u *placer.Upstream) candidate {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := x.service.dialContext(probeTimeout)
 	defer cancel()
 	pool := x.forwarder.pool
 	limit := x.connLimit()
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -21,6 +21,15 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// serviceKey is the key of the *service to whose upstreams a connection is opened, in the
+// context of the dial.
+type serviceKey struct{}
+
+// dialContext returns a context for a connection to an upstream of the service.
+func (s *service) dialContext(timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithValue(context.Background(), serviceKey{}, s), timeout)
+}
+
 // dialUpstream opens a connection to an upstream and records the outcome.
 func (f *Forwarder) dialUpstream(ctx context.Context, addr string) (net.Conn, error) {
 	start := time.Now()
@@ -28,6 +37,9 @@
 	now := time.Now()
 	if err == nil || ctx.Err() == nil || now.Sub(start) >= minDialTime {
 		f.options.Reach.RecordDial(now, addr, err == nil)
+		if s, ok := ctx.Value(serviceKey{}).(*service); ok {
+			s.reach.RecordDial(now, addr, err == nil)
+		}
 	}
 	return c, err
 }
@@ -41,13 +53,17 @@
 	return c.Close()
 }
 
-// Upstreams returns the addresses of the upstreams of all services.
-func (f *Forwarder) Upstreams() []string {
+// Upstreams returns the addresses of the upstreams of a service, or of all services if the name
+// is empty.
+func (f *Forwarder) Upstreams(name string) []string {
 	f.mu.Lock()
 	services := slices.Collect(maps.Values(f.services))
 	f.mu.Unlock()
 	var out []string
 	for _, s := range services {
+		if name != "" && s.name != name {
+			continue
+		}
 		s.mu.Lock()
 		for _, u := range s.fleet.List() {
 			out = append(out, u.Addr())
@@ -61,6 +77,8 @@
 // sent for want of a connection says nothing.
 func (x *exchange) recordReach(cand candidate) {
 	if !errors.Is(cand.err, pooler.ErrConnLimit) {
-		x.forwarder.options.Reach.RecordProbe(time.Now(), cand.upstream.Addr(), cand.responded())
+		now, addr, ok := time.Now(), cand.upstream.Addr(), cand.responded()
+		x.forwarder.options.Reach.RecordProbe(now, addr, ok)
+		x.service.reach.RecordProbe(now, addr, ok)
 	}
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -19,7 +19,7 @@
 const headerRelayed = "Poplar-Relayed"
 
 // headerRelayQuery is the header of a question of another entry whether this one takes
-// requests that are relayed. The response is 204 if it does.
+// requests that are relayed, for the service that is its value. The response is 204 if it does.
 const headerRelayQuery = "Poplar-Relay-Query"
 
 // headerAttempts is the header of a rejection of a relayed request. Its value is the number
@@ -58,9 +58,9 @@
 // attempts returns the number of upstreams that the request was sent to, by any entry.
 func (x *exchange) attempts() int { return x.earlier + len(x.attempted) }
 
-// cutOff reports whether this entry can't reach upstreams, so that the request must be
-// relayed.
-func (x *exchange) cutOff() bool { return x.forwarder.options.Reach.Cut() }
+// cutOff reports whether this entry can't reach the upstreams of the service, so that the
+// request must be relayed.
+func (x *exchange) cutOff() bool { return x.forwarder.options.Reach.Cut() || x.service.reach.Cut() }
 
 // relay sends the request to another entry, which reaches upstreams, and returns its
 // response. If an entry states that the request did not run, or gives no response to an
@@ -162,7 +162,7 @@
 	replies := make(chan *pooler.Conn)
 	for _, addr := range addrs {
 		go func() {
-			c := x.forwarder.queryEntry(ctx, addr, fresh)
+			c := x.forwarder.queryEntry(ctx, addr, x.service.name, fresh)
 			select {
 			case replies <- c:
 			case <-ctx.Done():
@@ -188,7 +188,7 @@
 
 // queryEntry asks one entry and returns the connection to it, nil if it does not take
 // relayed requests.
-func (f *Forwarder) queryEntry(ctx context.Context, addr string, fresh bool) *pooler.Conn {
+func (f *Forwarder) queryEntry(ctx context.Context, addr, service string, fresh bool) *pooler.Conn {
 	c, err := f.entries.Get(ctx, addr, relayConns, fresh)
 	if err != nil {
 		f.options.Log.Debug("cannot connect to entry", "addr", addr, "error", err.Error())
@@ -199,7 +199,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("/")
 	req.Header.SetHost(addr)
-	req.Header.Set(headerRelayQuery, "1")
+	req.Header.Set(headerRelayQuery, service)
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
 	if err = c.Send(req); err == nil {
@@ -218,12 +218,21 @@
 		return false
 	}
 	c.Response.SetStatusCode(fasthttp.StatusNoContent)
-	if f.closed.Load() || f.options.Reach.Cut() || f.table.Load() == nil {
+	if f.closed.Load() || f.options.Reach.Cut() || f.cutFrom(string(c.Request.Header.Peek(headerRelayQuery))) || f.table.Load() == nil {
 		c.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 	return true
 }
 
+// cutFrom reports whether this entry is cut off from the upstreams of a service. Older builds
+// name none in their questions.
+func (f *Forwarder) cutFrom(service string) bool {
+	f.mu.Lock()
+	s := f.services[service]
+	f.mu.Unlock()
+	return s != nil && s.reach.Cut()
+}
+
 // relayTo sends the request over a connection to another entry.
 func (x *exchange) relayTo(c *pooler.Conn) outcome {
 	f := x.forwarder
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -6,11 +6,14 @@
 
 	"poplarwind/limiter"
 	"poplarwind/placer"
+	"poplarwind/reacher"
 )
 
 // service is the state of one service at this entry.
 type service struct {
 	name string
+	// reach is that of the upstreams of the service.
+	reach *reacher.Reach
 
 	mu          sync.Mutex
 	fleet       placer.Fleet
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -13,6 +13,8 @@
 	Name string `json:"name"`
 	// Waiting is the number of requests in the admission queue of this entry.
 	Waiting int `json:"waiting"`
+	// Cut is set while the entry is cut off from the upstreams of the service.
+	Cut bool `json:"cut,omitempty"`
 	// Usable is the number of upstreams that requests may be sent to.
 	Usable          int           `json:"usable"`
 	AssignedEntries int           `json:"carriers"`
@@ -66,7 +68,7 @@
 func (s *service) status(now time.Time) ServiceStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := ServiceStatus{Name: s.name, Waiting: s.queue.Len(), AssignedEntries: s.assignedEntries, AverageLatency: s.fleet.AverageLatency(), Retries: s.retries, RetriesDenied: s.retriesDenied}
+	out := ServiceStatus{Name: s.name, Cut: s.reach.Cut(), Waiting: s.queue.Len(), AssignedEntries: s.assignedEntries, AverageLatency: s.fleet.AverageLatency(), Retries: s.retries, RetriesDenied: s.retriesDenied}
 	for _, u := range s.fleet.List() {
 		if u.Usable(now) {
 			out.Usable++
--- a/reacher/monitor.go
+++ b/reacher/monitor.go
@@ -32,10 +32,15 @@
 	// recentReach is how long ago an upstream may have accepted a connection for an entry
 	// to count as not cut off without another try.
 	recentReach = time.Second
-	// suspicionInterval is the pause after a suspicion that proved wrong, and cutInterval
-	// that between the tries of an entry that is cut off.
-	suspicionInterval = 300 * time.Millisecond
-	cutInterval       = 200 * time.Millisecond
+	// suspicionInterval is the pause after a suspicion that proved wrong, which doubles up
+	// to maxSuspicionInterval, and cutInterval that between the tries of an entry that is
+	// cut off.
+	suspicionInterval    = 300 * time.Millisecond
+	maxSuspicionInterval = 2400 * time.Millisecond
+	maxDoublings         = 3
+	cutInterval          = 200 * time.Millisecond
+	// checkInterval is how often checks that are not due yet are looked at.
+	checkInterval = 50 * time.Millisecond
 )
 
 // Peers sends messages to other entries.
@@ -46,14 +51,16 @@
 
 // Options configures a Monitor. All fields must be set.
 type Options struct {
+	// Reach is that of all services.
 	Reach *Reach
 	Peers Peers
 	// Self is the name of this entry.
 	Self string
 	// Live returns the live entries, including this one.
 	Live func() []announcer.Member
-	// Upstreams returns the addresses of the upstreams of all services that should run.
-	Upstreams func() []string
+	// Upstreams returns the addresses of the upstreams of a service, or of all if the name
+	// is empty, that should run.
+	Upstreams func(service string) []string
 	// Dial opens a connection to an upstream and closes it.
 	Dial func(ctx context.Context, addr string) error
 	Log  *slog.Logger
@@ -71,50 +78,64 @@
 	Reached bool `json:"reached"`
 }
 
+// question asks another entry whether it reaches the upstreams of a service, or of any if the
+// name is empty.
+type question struct {
+	Service string `json:"service,omitempty"`
+}
+
 // Run runs until ctx ends. It checks the reach when it is suspected to be lost, and
 // periodically while it is.
 func (m *Monitor) Run(ctx context.Context) error {
-	reach := m.options.Reach
 	for ctx.Err() == nil {
-		if !reach.Cut() {
+		due, later := m.options.Reach.due(time.Now())
+		if len(due) == 0 && !later {
 			select {
-			case <-reach.suspected:
+			case <-m.options.Reach.suspected:
 			case <-ctx.Done():
-				return nil
 			}
+			continue
 		}
-		m.check(ctx)
-		pause := suspicionInterval
-		if reach.Cut() {
-			pause = cutInterval
+		var wg sync.WaitGroup
+		for _, r := range due {
+			wg.Go(func() {
+				m.check(ctx, r)
+				r.checked(time.Now())
+			})
 		}
-		sleeper.Sleep(ctx, pause)
+		wg.Wait()
+		sleeper.Sleep(ctx, checkInterval)
 	}
 	return nil
 }
 
 // check tries upstreams. If none can be reached, it asks other entries.
-func (m *Monitor) check(ctx context.Context) {
-	reach := m.options.Reach
-	tried, reached := m.dialSome(ctx)
+func (m *Monitor) check(ctx context.Context, r *Reach) {
+	if r != m.options.Reach && m.options.Reach.Cut() {
+		return
+	}
+	tried, reached := m.dialSome(ctx, r)
 	switch {
 	case tried == 0:
 	case reached > 0:
-		m.setCut(false, "upstreams_tried", tried, "reached", reached)
-	case reach.Cut():
+		m.setCut(r, false, "upstreams_tried", tried, "reached", reached)
+	case r.Cut():
 	default:
-		if asked, others := m.askPeers(ctx); others > 0 {
-			m.setCut(true, "upstreams_tried", tried, "entries_asked", asked, "reached_by", others)
+		if asked, others := m.askPeers(ctx, r); others > 0 {
+			m.setCut(r, true, "upstreams_tried", tried, "entries_asked", asked, "reached_by", others)
 		} else {
-			m.options.Log.Info("no upstream reached, nor by other entries", "upstreams_tried", tried, "entries_asked", asked)
+			m.options.Log.Info("no upstream reached, nor by other entries", "service", r.service, "upstreams_tried", tried, "entries_asked", asked)
 		}
 	}
 }
 
-func (m *Monitor) setCut(cut bool, attrs ...any) {
-	if !m.options.Reach.SetCut(cut) {
+func (m *Monitor) setCut(r *Reach, cut bool, attrs ...any) {
+	if !r.SetCut(cut) {
 		return
 	}
+	if r.service != "" {
+		attrs = append(attrs, "service", r.service)
+	}
 	if cut {
 		m.options.Log.Warn("upstreams out of reach", attrs...)
 	} else {
@@ -124,13 +145,13 @@
 
 // dialSome tries a few upstreams at once, chosen at random. It returns how many were tried
 // and how many accepted a connection.
-func (m *Monitor) dialSome(ctx context.Context) (tried, reached int) {
-	list := m.options.Upstreams()
+func (m *Monitor) dialSome(ctx context.Context, r *Reach) (tried, reached int) {
+	list := m.options.Upstreams(r.service)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	return tryAny(list, maxDials, func(addr string) bool {
 		err := m.options.Dial(ctx, addr)
-		m.options.Reach.RecordDial(time.Now(), addr, err == nil)
+		r.RecordDial(time.Now(), addr, err == nil)
 		return err == nil
 	})
 }
@@ -155,7 +176,7 @@
 
 // askPeers asks a few other entries at once, chosen at random, whether they reach
 // upstreams. It returns how many were asked and how many do.
-func (m *Monitor) askPeers(ctx context.Context) (asked, reached int) {
+func (m *Monitor) askPeers(ctx context.Context, r *Reach) (asked, reached int) {
 	var others []announcer.Member
 	for _, p := range m.options.Live() {
 		if p.Name != m.options.Self {
@@ -166,7 +187,7 @@
 	defer cancel()
 	return tryAny(others, maxPeers, func(p announcer.Member) bool {
 		var reply answer
-		if err := m.options.Peers.Send(ctx, p, Path, struct{}{}, &reply); err != nil {
+		if err := m.options.Peers.Send(ctx, p, Path, question{Service: r.service}, &reply); err != nil {
 			m.options.Log.Debug("peer not asked for its reach", "to", p.Name, "error", err.Error())
 		}
 		return reply.Reached
@@ -176,17 +197,23 @@
 // Serve handles a question of another entry and returns the reply. A malformed message
 // has an error that satisfies errors.Is(err, errors.NotValid).
 func (m *Monitor) Serve(ctx context.Context, body []byte) (any, error) {
-	var question struct{}
-	if err := json.Unmarshal(body, &question); err != nil {
+	var q question
+	if err := json.Unmarshal(body, &q); err != nil {
 		return nil, errors.WithType(err, errors.NotValid)
 	}
 	reach := m.options.Reach
-	if reach.Cut() {
+	if q.Service != "" {
+		reach = reach.Service(q.Service)
+	}
+	if reach.Cut() || m.options.Reach.Cut() {
 		return answer{}, nil
 	}
 	if reach.reachedSince(time.Now()) < recentReach {
 		return answer{Reached: true}, nil
 	}
-	_, reached := m.dialSome(ctx)
+	if !reach.mayTry(time.Now()) {
+		return answer{}, nil
+	}
+	_, reached := m.dialSome(ctx, reach)
 	return answer{Reached: reached > 0}, nil
 }
--- a/reacher/monitor_test.go
+++ b/reacher/monitor_test.go
@@ -36,7 +36,7 @@
 	e.reach = New()
 	m := NewMonitor(Options{
 		Reach: e.reach, Peers: &e.others, Self: "a", Live: func() []announcer.Member { return []announcer.Member{{Name: "a"}, {Name: "b"}} },
-		Upstreams: func() []string { return []string{"0", "1", "2", "3", "4"} },
+		Upstreams: func(string) []string { return []string{"0", "1", "2", "3", "4"} },
 		Dial: func(_ context.Context, addr string) error {
 			e.dials.Add(1)
 			if addr >= fmt.Sprint(e.up.Load()) {
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -85,6 +85,8 @@
 	mu       sync.Mutex
 	nodes    []*clusterNode
 	upstream map[string]*clusterUpstream
+	// second is the number of upstreams of the second service, named t.
+	second   int
 	conns    []net.Conn
 	served   int
 	failed   int
@@ -110,9 +112,10 @@
 	monitor      *reacher.Monitor
 	reach        *reacher.Reach
 	callers      *pipeliner.Server
-	// partition is how the entry is partitioned from all upstreams, and toUpstreams are
-	// its connections to them.
+	// partition is how the entry is partitioned from all upstreams, or from those of the
+	// second service alone, and toUpstreams are its connections to upstreams.
 	partition   partition
+	secondAlone bool
 	toUpstreams []net.Conn
 	// ctx ends when the entry is killed.
 	ctx  context.Context
@@ -140,9 +143,11 @@
 		Version: 1,
 		Routes: []router.Route{
 			{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "s", Weight: 1}}},
+			{Name: "t", Host: "h", Prefix: "/t/", Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "t", Weight: 1}}},
+			{Name: "t-read", Host: "h", Prefix: "/t/read/", Idempotent: true, Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "t", Weight: 1}}},
 			{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, Attempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond, Targets: []router.SplitTarget{{Service: "s", Weight: 1}}},
 		},
-		Services: []router.Service{{Name: "s", HealthPath: "/health", MaxConns: 1000}},
+		Services: []router.Service{{Name: "s", HealthPath: "/health", MaxConns: 1000}, {Name: "t", HealthPath: "/health", MaxConns: 1000}},
 	}, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -184,9 +189,13 @@
 	})
 	c.addMonitor(n)
 	n.forwarder.Configure(c.table)
-	for i := range len(c.upstream) {
+	for i := range len(c.upstream) - c.second {
 		n.forwarder.PutUpstream(c.spec(i))
 	}
+	for i := range c.second {
+		id := fmt.Sprint("t", i)
+		n.forwarder.PutUpstream(placer.Spec{ID: id, Service: "t", Addr: id, Domain: c.domain(i), Slots: 8})
+	}
 	c.nodes = append(c.nodes, n)
 	go c.run(n)
 }
@@ -210,18 +219,18 @@
 // dial connects an entry to an upstream or to another entry.
 func (c *cluster) dial(ctx context.Context, n *clusterNode, addr string) (net.Conn, error) {
 	c.mu.Lock()
-	u, hangs := c.upstream[addr], n.partition == partitionHangs
+	u, how := c.upstream[addr], n.partitionFrom(addr)
 	c.mu.Unlock()
 	if u == nil {
 		return c.dialEntry(n, addr)
 	}
-	if hangs {
+	if how == partitionHangs {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || u.down || n.partition != reachable {
+	if c.ended || u.down || n.partitionFrom(addr) != reachable {
 		return nil, net.ErrClosed
 	}
 	client, server := net.Pipe()
@@ -242,7 +251,7 @@
 		if err := req.Read(reader); err != nil {
 			return
 		}
-		c.awaitPath(n)
+		c.awaitPath(n, id)
 		limit := ""
 		probe := string(req.Header.RequestURI()) == "/health"
 		c.mu.Lock()
--- a/runner/reach_cluster_test.go
+++ b/runner/reach_cluster_test.go
@@ -50,11 +50,29 @@
 	}()
 }
 
-// awaitPath waits until packets pass between an entry and upstreams.
-func (c *cluster) awaitPath(n *clusterNode) {
+// partitionFrom returns how the entry is partitioned from an upstream. The caller must hold
+// the lock.
+func (n *clusterNode) partitionFrom(id string) partition {
+	if n.secondAlone && !strings.HasPrefix(id, "t") {
+		return reachable
+	}
+	return n.partition
+}
+
+// addSecond adds a second service with n upstreams. It must be called before entries are
+// added.
+func (c *cluster) addSecond(n int) {
+	c.second = n
+	for i := range n {
+		c.upstream[fmt.Sprint("t", i)] = &clusterUpstream{told: make(map[string]time.Time)}
+	}
+}
+
+// awaitPath waits until packets pass between an entry and an upstream.
+func (c *cluster) awaitPath(n *clusterNode, id string) {
 	for {
 		c.mu.Lock()
-		open := n.partition != partitionHangs || c.ended
+		open := n.partitionFrom(id) != partitionHangs || c.ended
 		c.mu.Unlock()
 		if open {
 			return
@@ -125,11 +143,15 @@
 func (c *cluster) try(i int, tries *firstTries) {
 	n := c.running()
 	c.mu.Lock()
-	partitioned := n.partition != reachable
+	service, upstream := "", "u"
+	if c.second > 0 && i%4 < 2 {
+		service, upstream = "/t", "t"
+	}
+	partitioned := n.partitionFrom(upstream) != reachable
 	c.mu.Unlock()
-	method, path := "POST", fmt.Sprint("/order", i)
+	method, path := "POST", fmt.Sprint(service, "/order", i)
 	if i%2 == 0 {
-		method, path = "GET", fmt.Sprint("/read/", i)
+		method, path = "GET", fmt.Sprint(service, "/read/", i)
 	}
 	status := n.request(fmt.Sprint(method, time.Now().UnixNano(), "-", i), method, path)
 	c.mu.Lock()
@@ -219,3 +241,57 @@
 		})
 	}
 }
+
+// TestEntriesPartitionedFromOneService partitions entries from the upstreams of one of two
+// services, while callers send to all entries, which join, are killed, frozen and cut off from
+// each other as well. Callers of either service must be served nearly as well at the
+// partitioned entries as at the others.
+func TestEntriesPartitionedFromOneService(t *testing.T) {
+	for seed, tt := range []struct {
+		name    string
+		entries int
+		every   int
+		how     partition
+		faulty  bool
+	}{
+		{name: "two entries, one refuses", entries: 2, every: 2, how: partitionRefuses},
+		{name: "resets", entries: 16, every: 2, how: partitionResets},
+		{name: "hangs", entries: 16, every: 2, how: partitionHangs},
+		{name: "refuses", entries: 16, every: 2, how: partitionRefuses},
+		{name: "a failure domain hangs", entries: 16, every: clusterDomains, how: partitionHangs},
+		{name: "many entries, hangs", entries: 40, every: 3, how: partitionHangs, faulty: true},
+		{name: "many entries, refuses", entries: 40, every: 2, how: partitionRefuses, faulty: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 800+uint64(seed), 12)
+				defer c.close()
+				c.addSecond(12)
+				for range tt.entries {
+					c.add()
+				}
+				time.Sleep(4 * time.Second)
+				c.tryAll(2*time.Second, 100).check(t)
+				for range 2 {
+					c.mu.Lock()
+					for _, n := range c.nodes {
+						n.secondAlone = true
+					}
+					c.mu.Unlock()
+					c.setPartition(tt.every, tt.how)
+					c.tryAll(clusterStableTime, 100)
+					for range 3 {
+						if tt.faulty {
+							c.fault()
+						}
+						c.tryAll(4*time.Second, 100).check(t)
+					}
+					c.setPartition(1, reachable)
+					c.tryAll(clusterStableTime, 100)
+					c.tryAll(2*time.Second, 100).check(t)
+				}
+				c.checkArrivals()
+			})
+		})
+	}
+}
