reacher, forwarder: an entry that reaches few upstreams of a service relays its requests

A trace: each of these entries becomes suspect, tries 12 upstreams, reaches the one that is left, and counts as reaching the service; a third of a slot is what it then has for each caller (303 lines `no upstream has a slot in time`). Cause: one upstream reached was proof of the opposite. Change: an entry is cut off from a service if it reaches a quarter of its upstreams at most, while another entry reaches half of them or more; it serves by itself again from a half on. If most upstreams are down, no entry says that it reaches half. Upstreams make an entry suspect if three have failed in 2 s, twice as many as have not; for all services together one success still clears it. A request that no other entry takes is served as far as upstreams are reached.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -68,6 +68,9 @@
 	// upstreams as earlier says.
 	relayed bool
 	earlier int
+	// direct is set if the request is not relayed although the entry is cut off from the
+	// service, since no other entry takes it.
+	direct bool
 	// relayedTo holds the addresses of the entries that the request was relayed to.
 	relayedTo []string
 	// print is the fingerprint of the request, valid if hasPrint is set.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -60,14 +60,16 @@
 
 // cutOff reports whether this entry can't reach the upstreams of the service, so that the
 // request must be relayed.
-func (x *exchange) cutOff() bool { return x.forwarder.options.Reach.Cut() || x.service.reach.Cut() }
+func (x *exchange) cutOff() bool {
+	return x.forwarder.options.Reach.Cut() || x.service.reach.Cut() && !x.direct
+}
 
 // relay sends the request to another entry, which reaches upstreams, and returns its
 // response. If an entry states that the request did not run, or gives no response to an
 // idempotent one, the next is tried.
 func (x *exchange) relay() result {
 	if x.relayed || x.forwarder.options.Relays == nil {
-		return x.fail(errCutOff)
+		return x.serveDirectly()
 	}
 	addrs := x.forwarder.options.Relays(x.service.name)
 	var rejection *fasthttp.Response
@@ -94,6 +96,9 @@
 			break
 		}
 	}
+	if len(x.relayedTo) == 0 {
+		return x.serveDirectly()
+	}
 	switch {
 	case rejection != nil && !x.mayHaveRun:
 		return result{resp: rejection}
@@ -104,6 +109,16 @@
 	}
 }
 
+// serveDirectly serves a request that no other entry takes, if this one may still reach some
+// upstreams of the service.
+func (x *exchange) serveDirectly() result {
+	if x.direct || x.forwarder.options.Reach.Cut() || x.caller.Err() != nil {
+		return x.fail(errCutOff)
+	}
+	x.direct = true
+	return x.run()
+}
+
 // attemptsOf returns the number of upstreams that another entry sent the request to before
 // it rejected it, and removes it from the rejection. A malformed one counts as all that the
 // route allows.
--- a/reacher/monitor.go
+++ b/reacher/monitor.go
@@ -109,22 +109,23 @@
 	return nil
 }
 
-// check tries upstreams. If none can be reached, it asks other entries.
+// check tries upstreams. If too few can be reached, it asks other entries.
 func (m *Monitor) check(ctx context.Context, r *Reach) {
 	if r != m.options.Reach && m.options.Reach.Cut() {
 		return
 	}
 	tried, reached := m.dialSome(ctx, r)
+	fraction, _ := r.lastTry(time.Now())
 	switch {
 	case tried == 0:
-	case reached > 0:
+	case r.sound(fraction):
 		m.setCut(r, false, "upstreams_tried", tried, "reached", reached)
-	case r.Cut():
+	case r.Cut() || !r.lost(fraction):
 	default:
 		if asked, others := m.askPeers(ctx, r); others > 0 {
-			m.setCut(r, true, "upstreams_tried", tried, "entries_asked", asked, "reached_by", others)
+			m.setCut(r, true, "upstreams_tried", tried, "reached", reached, "entries_asked", asked, "reached_by", others)
 		} else {
-			m.options.Log.Info("no upstream reached, nor by other entries", "service", r.service, "upstreams_tried", tried, "entries_asked", asked)
+			m.options.Log.Info("no upstream reached, nor by other entries", "service", r.service, "upstreams_tried", tried, "reached", reached, "entries_asked", asked)
 		}
 	}
 }
@@ -149,11 +150,13 @@
 	list := m.options.Upstreams(r.service)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return tryAny(list, maxDials, func(addr string) bool {
+	tried, reached = tryAny(list, maxDials, func(addr string) bool {
 		err := m.options.Dial(ctx, addr)
 		r.RecordDial(time.Now(), addr, err == nil)
 		return err == nil
 	})
+	r.recordTry(time.Now(), tried, reached)
+	return tried, reached
 }
 
 // tryAny calls try at once for at most limit elements of list, chosen at random. It returns
@@ -208,12 +211,13 @@
 	if reach.Cut() || m.options.Reach.Cut() {
 		return answer{}, nil
 	}
-	if reach.reachedSince(time.Now()) < recentReach {
+	if q.Service == "" && reach.reachedSince(time.Now()) < recentReach {
 		return answer{Reached: true}, nil
 	}
-	if !reach.mayTry(time.Now()) {
-		return answer{}, nil
+	fraction, recent := reach.lastTry(time.Now())
+	if !recent {
+		m.dialSome(ctx, reach)
+		fraction, _ = reach.lastTry(time.Now())
 	}
-	_, reached := m.dialSome(ctx, reach)
-	return answer{Reached: reached > 0}, nil
+	return answer{Reached: reach.sound(fraction)}, nil
 }
--- a/reacher/reach.go
+++ b/reacher/reach.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// minFailed is the number of upstreams that must have failed since the last success
-	// before the entry may be cut off. A single one is likely to be down itself.
+	// minFailed is the number of upstreams that must have failed before the entry may be cut
+	// off. A single one is likely to be down itself.
 	minFailed = 3
-	// failureTTL is how long a failure counts.
-	failureTTL = 2 * time.Second
-	// maxFailed bounds the upstreams whose failures are kept.
-	maxFailed = 64
+	// outcomeTTL is how long the outcome of a try counts.
+	outcomeTTL = 2 * time.Second
+	// maxOutcomes bounds the upstreams whose outcomes are kept.
+	maxOutcomes = 64
 )
 
 // Reach is what an entry knows of its paths to the upstreams of all services, or of one. It
@@ -28,14 +28,15 @@
 	suspected chan struct{}
 
 	mu sync.Mutex
-	// dials holds the upstreams that have accepted no connection since another one last
-	// did, by address, with the time. Connections that are open may live on when no new
-	// one can be opened. Probes holds those that have not responded to a load probe since
-	// another one last did.
-	dials, probes failures
-	// reachedAt is when an upstream last accepted a connection, and triedAt when upstreams
-	// were last tried for another entry.
-	reachedAt, triedAt time.Time
+	// dials holds the last outcomes of connections by upstream, and probes those of load
+	// probes. Connections that are open may live on when no new one can be opened.
+	dials, probes outcomes
+	// reachedAt is when an upstream last accepted a connection.
+	reachedAt time.Time
+	// fraction is the fraction of the upstreams tried on purpose that accepted a connection
+	// at triedAt, zero if there was no try.
+	fraction float64
+	triedAt  time.Time
 	// checkAt is when the next check of a suspicion may begin, and wrong counts the
 	// suspicions that proved wrong one after the other.
 	checkAt time.Time
@@ -44,27 +45,36 @@
 	services map[string]*Reach
 }
 
-// failures holds the upstreams that failed, by address, with the time.
-type failures map[string]time.Time
+// outcome is the last outcome of a try to reach an upstream.
+type outcome struct {
+	ok bool
+	at time.Time
+}
 
-// record records the outcome of one try and reports whether enough upstreams have failed.
-func (f *failures) record(now time.Time, addr string, ok bool) bool {
-	if ok {
-		clear(*f)
-		return false
-	}
-	if *f == nil {
-		*f = make(failures)
+// outcomes holds the last outcomes by address of the upstream.
+type outcomes map[string]outcome
+
+// record records the outcome of one try and reports whether enough upstreams have failed: at
+// least minFailed, and twice as many as have not.
+func (o *outcomes) record(now time.Time, addr string, ok bool) bool {
+	if *o == nil {
+		*o = make(outcomes)
 	}
-	for a, at := range *f {
-		if now.Sub(at) > failureTTL {
-			delete(*f, a)
+	failed, succeeded := 0, 0
+	for a, v := range *o {
+		switch {
+		case now.Sub(v.at) > outcomeTTL || a == addr:
+			delete(*o, a)
+		case v.ok:
+			succeeded++
+		default:
+			failed++
 		}
 	}
-	if len(*f) < maxFailed {
-		(*f)[addr] = now
+	if len(*o) < maxOutcomes {
+		(*o)[addr] = outcome{ok, now}
 	}
-	return len(*f) >= minFailed
+	return !ok && failed+1 >= minFailed && failed+1 >= 2*succeeded
 }
 
 // New returns a Reach of all services, of an entry that is not cut off.
@@ -131,15 +141,43 @@
 	r.wrong++
 }
 
-// mayTry reports whether upstreams may be tried for another entry now, and records that.
-func (r *Reach) mayTry(now time.Time) bool {
+// recordTry records how many of the upstreams that were tried on purpose accepted a
+// connection.
+func (r *Reach) recordTry(now time.Time, tried, reached int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.triedAt) < recentReach {
-		return false
+	r.fraction, r.triedAt = 0, now
+	if tried > 0 {
+		r.fraction = float64(reached) / float64(tried)
 	}
-	r.triedAt = now
-	return true
+}
+
+// lastTry returns the fraction that the last try reached, false if that was too long ago.
+func (r *Reach) lastTry(now time.Time) (float64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fraction, !r.triedAt.IsZero() && now.Sub(r.triedAt) < recentReach
+}
+
+const (
+	// lostFraction is the fraction of a service's upstreams that an entry must reach to
+	// serve it by itself. The few that it reaches would be overloaded by its requests.
+	lostFraction = 0.25
+	// soundFraction is the fraction of them that another entry must reach to take its
+	// requests, and from which on the entry serves the service by itself again. If most
+	// upstreams are down, no entry reaches it.
+	soundFraction = 0.5
+)
+
+// lost reports whether the entry is cut off if it reaches a fraction of the upstreams. It must
+// reach none of those of all services, since services differ.
+func (r *Reach) lost(fraction float64) bool {
+	return fraction == 0 || r.service != "" && fraction <= lostFraction
+}
+
+// sound reports whether the entry is not cut off if it reaches a fraction of the upstreams.
+func (r *Reach) sound(fraction float64) bool {
+	return fraction > 0 && (r.service == "" || fraction >= soundFraction)
 }
 
 // SetCut sets whether the entry is cut off, and reports whether this has changed.
@@ -152,14 +190,24 @@
 	if ok {
 		r.reachedAt = now
 	}
-	r.suspect(r.dials.record(now, addr, ok))
+	r.record(&r.dials, now, addr, ok)
 }
 
 // RecordProbe records whether an upstream responded to a load probe.
 func (r *Reach) RecordProbe(now time.Time, addr string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.suspect(r.probes.record(now, addr, ok))
+	r.record(&r.probes, now, addr, ok)
+}
+
+// record records an outcome and whether it makes the entry suspect. A single success shows that
+// it is not cut off from all services. The lock must be held.
+func (r *Reach) record(o *outcomes, now time.Time, addr string, ok bool) {
+	if ok && r.service == "" {
+		clear(*o)
+		return
+	}
+	r.suspect(o.record(now, addr, ok))
 }
 
 func (r *Reach) suspect(suspect bool) {
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -116,6 +116,8 @@
 	// second service alone, and toUpstreams are its connections to upstreams.
 	partition   partition
 	secondAlone bool
+	// spared is an upstream of the second service that is reached nevertheless.
+	spared      string
 	toUpstreams []net.Conn
 	// ctx ends when the entry is killed.
 	ctx  context.Context
