forwarder, runner: statements of upstreams in one file; the test bed refuses connections after its end

Cause: TestLeavingReports failed once in a run of the package (a deadlock at its end): a load probe of a request that was already answered opened a connection after the test bed had closed all, and its upstream waited for ever. The trace shows dial after close; the tests before it avoid this by sleeping at their end. Change: the test bed refuses connections once it is closed. What a response of an upstream states is recorded in forwarder/statement.go; the steps of a relay are apart. Behavior is as before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -68,6 +68,8 @@
 	// upstreams as earlier says.
 	relayed bool
 	earlier int
+	// rejection is the last rejection of the request by another entry.
+	rejection *fasthttp.Response
 	// direct is set if the request is not relayed although the entry is cut off from the
 	// service, since no other entry takes it.
 	direct bool
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -10,18 +10,6 @@
 	"poplarwind/placer"
 )
 
-//go:generate go tool stringer -type=statementSource -linecomment -output=statementsource_string.go
-
-// statementSource is where a statement of an upstream about itself was learned from.
-type statementSource int
-
-// The sources of statements.
-const (
-	sourceRequest statementSource = iota // request
-	sourceProbe                          // probe
-	sourcePeer                           // peer
-)
-
 // LimitReport is the rate limit of an upstream as one entry reports it to another.
 type LimitReport struct {
 	Service  string `json:"service"`
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -72,7 +72,6 @@
 		return x.serveDirectly()
 	}
 	addrs := x.forwarder.options.Relays(x.service.name)
-	var rejection *fasthttp.Response
 	for range maxRelays {
 		var c *pooler.Conn
 		if c, addrs = x.queryEntries(addrs); c == nil {
@@ -83,16 +82,7 @@
 			x.releaseFallback()
 			return result{resp: o.resp}
 		}
-		if o.resp != nil {
-			if rejection != nil {
-				fasthttp.ReleaseResponse(rejection)
-			}
-			rejection = o.resp
-			if n := x.attemptsOf(rejection); n > 0 && !x.mayResend(n) {
-				break
-			}
-		}
-		if o.resp == nil && o.sent && !x.mayRepeat() {
+		if !x.recordRelay(o) {
 			break
 		}
 	}
@@ -100,8 +90,8 @@
 		return x.serveDirectly()
 	}
 	switch {
-	case rejection != nil && !x.mayHaveRun:
-		return result{resp: rejection}
+	case x.rejection != nil && !x.mayHaveRun:
+		return result{resp: x.rejection}
 	case x.caller.Err() != nil:
 		return x.fail(errDisconnected)
 	default:
@@ -109,6 +99,23 @@
 	}
 }
 
+// recordRelay records that another entry gave no final response, and reports whether a further
+// one may be asked.
+func (x *exchange) recordRelay(o outcome) bool {
+	switch {
+	case o.resp != nil:
+		if x.rejection != nil {
+			fasthttp.ReleaseResponse(x.rejection)
+		}
+		x.rejection = o.resp
+		n := x.attemptsOf(o.resp)
+		return n == 0 || x.mayResend(n)
+	case o.sent:
+		return x.mayRepeat()
+	}
+	return true
+}
+
 // serveDirectly serves a request that no other entry takes, if this one may still reach some
 // upstreams of the service.
 func (x *exchange) serveDirectly() result {
--- a/forwarder/pause.go
+++ b/forwarder/statement.go
@@ -8,6 +8,18 @@
 	"poplarwind/placer"
 )
 
+//go:generate go tool stringer -type=statementSource -linecomment -output=statementsource_string.go
+
+// statementSource is where a statement of an upstream about itself was learned from.
+type statementSource int
+
+// The sources of statements.
+const (
+	sourceRequest statementSource = iota // request
+	sourceProbe                          // probe
+	sourcePeer                           // peer
+)
+
 // parseResponse parses the protocol headers of a response of the upstream, to whatever
 // request, and records whether it leaves and the pause that it asks for, unless another
 // upstream responded at its address.
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -120,6 +120,7 @@
 	// leavingProbes if they say in load probes that they leave.
 	pausingProbes, leavingProbes bool
 	conns                        []net.Conn
+	closed                       bool
 }
 
 func (tb *testbed) nextFault() fault {
@@ -145,15 +146,20 @@
 	}
 	client, server := net.Pipe()
 	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if tb.closed {
+		return nil, net.ErrClosed
+	}
 	tb.conns = append(tb.conns, client, server)
-	tb.mu.Unlock()
 	go tb.serve(server, addr)
 	return client, nil
 }
 
+// close closes all connections. Load probes that are still to be sent get none.
 func (tb *testbed) close() {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	tb.closed = true
 	for _, c := range tb.conns {
 		_ = c.Close()
 	}
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -354,6 +354,18 @@
 	}
 }
 
+// node returns the entry of a name, nil if there is none.
+func (c *cluster) node(name string) *clusterNode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
 // running returns an entry that runs, at random. It waits until there is one.
 func (c *cluster) running() *clusterNode {
 	for {
--- a/runner/leaving_cluster_test.go
+++ b/runner/leaving_cluster_test.go
@@ -34,15 +34,8 @@
 func (c *cluster) deliverLeaving(n *clusterNode, reports []forwarder.LeavingReport, delay time.Duration) {
 	time.Sleep(delay)
 	for _, m := range n.membership().assignedAll("s") {
-		c.mu.Lock()
-		var to *clusterNode
-		for _, other := range c.nodes {
-			if other.name == m.Name && other != n {
-				to = other
-			}
-		}
-		c.mu.Unlock()
-		if to == nil || !c.reachable(n, to) {
+		to := c.node(m.Name)
+		if to == nil || to == n || !c.reachable(n, to) {
 			continue
 		}
 		if err := to.forwarder.ApplyLeavingReports(n.name, reports); err != nil {
--- a/runner/limit_cluster_test.go
+++ b/runner/limit_cluster_test.go
@@ -18,15 +18,8 @@
 // deliverReport delivers one report to its recipients.
 func (c *cluster) deliverReport(n *clusterNode, r forwarder.LimitReport) {
 	for _, m := range n.membership().limitRecipients(r) {
-		c.mu.Lock()
-		var to *clusterNode
-		for _, other := range c.nodes {
-			if other.name == m.Name && other != n {
-				to = other
-			}
-		}
-		c.mu.Unlock()
-		if to == nil || !c.reachable(n, to) {
+		to := c.node(m.Name)
+		if to == nil || to == n || !c.reachable(n, to) {
 			continue
 		}
 		if err := to.forwarder.ApplyLimitReports(n.name, []forwarder.LimitReport{r}); err != nil {
