--- a/reacher/reach.go
+++ b/reacher/reach.go
@@ -60,10 +60,15 @@
 	if *o == nil {
 		*o = make(outcomes)
 	}
+	if ok && len(*o) < maxOutcomes {
+		(*o)[addr] = outcome{ok, now}
+		return false
+	}
+	delete(*o, addr)
 	failed, succeeded := 0, 0
 	for a, v := range *o {
 		switch {
-		case now.Sub(v.at) > outcomeTTL || a == addr:
+		case now.Sub(v.at) > outcomeTTL:
 			delete(*o, a)
 		case v.ok:
 			succeeded++
