runner: the cases of the cluster tests run in parallel

Cause: under the race detector ./runner took 1,158 s beside load, of 1,200 that a package has; its cases in virtual time run one after the other, each on one core. Change: the cases of each cluster test run in parallel.

--- a/runner/crash_cluster_test.go
+++ b/runner/crash_cluster_test.go
@@ -310,6 +310,7 @@
 		{name: "all entries killed, faults", method: "POST", path: "/order", entries: 40, rate: 4, faulty: true, killAll: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 100+uint64(seed), 24)
 				defer c.close()
--- a/runner/leaving_cluster_test.go
+++ b/runner/leaving_cluster_test.go
@@ -92,6 +92,7 @@
 		{entries: 40, upstreams: 24, leaving: 20, faulty: true, served: 0.99},
 	} {
 		t.Run(fmt.Sprintf("entries=%d,leaving=%d of %d,faulty=%v", tt.entries, tt.leaving, tt.upstreams, tt.faulty), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 600+uint64(seed), tt.upstreams)
 				defer c.close()
@@ -126,6 +127,7 @@
 func TestStatementsTogether(t *testing.T) {
 	for seed, n := range []int{8, 40} {
 		t.Run(fmt.Sprint("entries=", n), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 700+uint64(seed), 24)
 				defer c.close()
--- a/runner/limit_test.go
+++ b/runner/limit_test.go
@@ -183,6 +183,7 @@
 		{rate: 0, every: 2, faulty: true, requests: 200, rounds: 40, lifted: 100 * time.Second},
 	} {
 		t.Run(fmt.Sprintf("rate=%v,every=%d,faulty=%v", tt.rate, tt.every, tt.faulty), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, uint64(seed), 24)
 				defer c.close()
