--- a/internal/upgrader/fleet.go
+++ b/internal/upgrader/fleet.go
@@ -29,6 +29,10 @@
 	// that the system chooses are higher.
 	host      = "h.example"
 	firstPort = 20000
+	// readPath and orderPath are the paths of idempotent requests and of others.
+	readPath, orderPath = "/read/", "/order/"
+	// work is how long an upstream takes for a request.
+	work = 10 * time.Millisecond
 )
 
 // Fleet is a set of entries in front of a store and upstreams.
@@ -36,7 +40,7 @@
 	// Store is the fake of the platform's store.
 	Store *imitator.Store
 	// Upstreams are the fake upstreams.
-	Upstreams []*Upstream
+	Upstreams []*imitator.CountingUpstream
 
 	folder, ip, storeAddr string
 	port                  int
@@ -65,14 +69,14 @@
 	}
 	f.Configure()
 	for i := range upstreams {
-		u := &Upstream{id: fmt.Sprint("i-", i), runs: make(map[string]int)}
-		server := &fasthttp.Server{Handler: u.handle}
+		u := imitator.NewCountingUpstream(fmt.Sprint("i-", i), work)
+		server := &fasthttp.Server{Handler: u.Handle}
 		addr, err := f.serve(func(l net.Listener) { _ = server.Serve(l) })
 		if err != nil {
 			return nil, err
 		}
 		f.Upstreams = append(f.Upstreams, u)
-		f.Store.PutUpstream(u.id, "jobs", addr, domain(i))
+		f.Store.PutUpstream(u.ID(), "jobs", addr, domain(i))
 	}
 	return f, nil
 }
@@ -105,12 +109,11 @@
 // returned path.
 func (f *Fleet) Configure() string {
 	f.version++
-	routes := fmt.Sprintf(`{"name":"read","host":%q,"path_prefix":"/read/","type":"safe","timeout_ms":2000,"target_latency_ms":500,"service":"jobs","max_attempts":2},
-		{"name":"order","host":%q,"path_prefix":"/order/","type":"unsafe","timeout_ms":2000,"target_latency_ms":500,"service":"jobs","max_attempts":2}`, host, host)
+	routes := []imitator.Route{{Path: readPath, Idempotent: true}, {Path: orderPath}}
 	for v := range f.version {
-		routes += fmt.Sprintf(`,{"name":"added%d","host":%q,"path_prefix":"/added%d/","type":"safe","timeout_ms":2000,"service":"jobs","max_attempts":2}`, v, host, v)
+		routes = append(routes, imitator.Route{Path: fmt.Sprintf("/added%d/", v), Idempotent: true})
 	}
-	f.Store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"jobs","health_path":"/healthz"}]}`, f.version, routes))
+	f.Store.PutRoutes(f.version, host, "jobs", routes)
 	return fmt.Sprintf("/added%d/", f.version-1)
 }
 
--- a/internal/upgrader/load.go
+++ b/internal/upgrader/load.go
@@ -9,8 +9,13 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/platform/imitator"
 )
 
+// callerDeadline is the deadline of requests.
+const callerDeadline = 2 * time.Second
+
 // Load is a set of callers that send requests to the entries of a fleet at random, as those
 // of the platform do: a request that was certainly not run, and any idempotent one, is sent
 // once more to another entry.
@@ -89,9 +94,9 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	path := "/order/"
+	path := orderPath
 	if idempotent {
-		path = "/read/"
+		path = readPath
 	} else {
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyString("an order")
@@ -99,10 +104,9 @@
 	req.SetRequestURI("http://" + e.Callers + path + id)
 	req.Header.SetHost(host)
 	req.UseHostHeader = true
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "2000")
+	imitator.SetRequest(&req.Header, id, callerDeadline)
 	out := Request{ID: id, Idempotent: idempotent}
-	if err := l.client.DoTimeout(req, resp, 3*time.Second); err != nil {
+	if err := l.client.DoTimeout(req, resp, callerDeadline+time.Second); err != nil {
 		if !unread(err) {
 			out.Body = "sent"
 		}
--- a/internal/upgrader/upgrade_test.go
+++ b/internal/upgrader/upgrade_test.go
@@ -72,7 +72,7 @@
 	if !r.Idempotent && r.Status == fasthttp.StatusServiceUnavailable && runs > 0 {
 		u.t.Errorf("%s: got: 503 and %d runs want: none", r.ID, runs)
 	}
-	if r.Status == fasthttp.StatusOK && (runs == 0 || r.Body != "whole "+r.ID) {
+	if r.Status == fasthttp.StatusOK && (runs == 0 || r.Body != imitator.Body(r.ID)) {
 		u.t.Errorf("%s: got: %q after %d runs want: the whole response", r.ID, r.Body, runs)
 	}
 	if r.Status == fasthttp.StatusNotFound {
@@ -132,8 +132,7 @@
 	req.SetRequestURI("http://" + e.Callers + path)
 	req.Header.SetHost(host)
 	req.UseHostHeader = true
-	req.Header.Set("Request-Id", fmt.Sprint("c", u.random.Uint64()))
-	req.Header.Set("Deadline-Ms", "1000")
+	imitator.SetRequest(&req.Header, fmt.Sprint("c", u.random.Uint64()), time.Second)
 	if err := fasthttp.DoTimeout(req, resp, time.Second); err != nil {
 		u.t.Logf("%s: %v", e.name, err)
 		return 0
