--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
+	"poplarwind/bufferer"
 	"poplarwind/internal/sleeper"
 	"poplarwind/storer"
 	"poplarwind/watcher"
@@ -58,7 +59,9 @@
 	// Handler handles messages to paths other than the announcer's own. It may
 	// be nil.
 	Handler func(ctx context.Context, path string, body []byte) (any, error)
-	Log     *slog.Logger
+	// Budget bounds the memory of messages. Nil means that it has no bound.
+	Budget *bufferer.Budget
+	Log    *slog.Logger
 }
 
 // Announcer exchanges membership tables and settings with peers.
@@ -86,12 +89,15 @@
 
 // New returns an announcer for the table.
 func New(t *Table, o Options) *Announcer {
+	if o.Budget == nil {
+		o.Budget = &bufferer.Budget{}
+	}
 	return &Announcer{
 		options: o, table: t, requested: make(map[string][]ID),
 		budget: rate.NewLimiter(rate.Limit(o.BytesPerSecond/2), burstSeconds*o.BytesPerSecond),
 		random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		client: fasthttp.Client{
-			MaxIdemponentCallAttempts: 1, MaxResponseBodySize: MaxMessage, NoDefaultUserAgentHeader: true,
+			MaxIdemponentCallAttempts: 1, StreamResponseBody: true, NoDefaultUserAgentHeader: true,
 			MaxIdleConnDuration: time.Minute, ReadTimeout: peerTimeout, WriteTimeout: peerTimeout,
 		},
 	}
--- a/announcer/bench_test.go
+++ b/announcer/bench_test.go
@@ -49,7 +49,7 @@
 // returns the size of both messages in bytes.
 func exchange(t testing.TB, from, to *Announcer) int {
 	parse := func(body []byte) Hello {
-		text, err := unpack(body)
+		text, err := Packed(body).Unpack()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/announcer/hello.go
+++ b/announcer/hello.go
@@ -10,13 +10,14 @@
 // the peer differ, or if the platform's list is still missing.
 func (a *Announcer) exchangeTables(ctx context.Context, p Member) {
 	h := a.newHello(p.Name, nil, false)
-	data, err := a.sendThrottled(ctx, p, pathHello, h)
-	if err != nil {
-		return
-	}
-	reply, err := ParseHello(data)
+	var reply Hello
+	err := a.sendThrottled(ctx, p, pathHello, h, func(text []byte) (err error) {
+		if reply, err = ParseHello(text); err != nil {
+			a.rejected.Add(1)
+		}
+		return err
+	})
 	if err != nil {
-		a.rejected.Add(1)
 		return
 	}
 	a.applyHello(reply)
--- a/announcer/message.go
+++ b/announcer/message.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
-	"io"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/bufferer"
 	"poplarwind/storer"
 )
 
@@ -91,27 +91,26 @@
 }
 
 // Unpack returns the JSON text of a packed message.
-func (p Packed) Unpack() ([]byte, error) { return unpack(p) }
+func (p Packed) Unpack() ([]byte, error) {
+	text, _, err := unpack(&bufferer.Budget{}, p)
+	return text, err
+}
 
-// unpack returns the JSON text of a packed message, of at most MaxMessage bytes
-// if it is compressed. The result shares no memory with data, which may belong
-// to a request or response object that is reused.
-func unpack(data []byte) ([]byte, error) {
+// unpack returns the JSON text of a packed message, of at most MaxMessage bytes. It shares no
+// memory with data. The memory is to be released when it is no longer used.
+func unpack(g *bufferer.Budget, data []byte) (text []byte, memory *bufferer.Body, err error) {
 	if !bytes.HasPrefix(data, gzipMagic) {
-		return bytes.Clone(data), nil
+		return bytes.Clone(data), nil, nil
 	}
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return nil, errors.WithType(err, ErrMalformed)
+		return nil, nil, errors.WithType(err, ErrMalformed)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, MaxMessage+1))
+	memory, err = g.Read(bufferer.Peers, r, MaxMessage, messageOverhead)
 	if err != nil {
-		return nil, errors.WithType(err, ErrMalformed)
-	}
-	if len(body) > MaxMessage {
-		return nil, errors.Annotate(ErrMalformed, "too large")
+		return nil, nil, errors.WithType(err, ErrMalformed)
 	}
-	return body, nil
+	return memory.Bytes(), memory, nil
 }
 
 // ParseHello decodes a Hello and checks its limits.
--- a/announcer/message_test.go
+++ b/announcer/message_test.go
@@ -14,7 +14,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := unpack(data)
+		got, err := Packed(data).Unpack()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/announcer/settings.go
+++ b/announcer/settings.go
@@ -25,13 +25,15 @@
 			q.Have = append(q.Have, storer.VersionRef{Path: state.Object().Path, Version: state.Version(), Era: state.Object().Era})
 		}
 	}
-	data, err := a.sendThrottled(ctx, p, pathPull, q)
-	if err != nil {
-		return
-	}
 	var response PullResponse
-	if err := json.Unmarshal(data, &response); err != nil {
-		a.rejected.Add(1)
+	err := a.sendThrottled(ctx, p, pathPull, q, func(text []byte) error {
+		err := json.Unmarshal(text, &response)
+		if err != nil {
+			a.rejected.Add(1)
+		}
+		return err
+	})
+	if err != nil {
 		return
 	}
 	for _, o := range response.Objects {
--- a/announcer/transport.go
+++ b/announcer/transport.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/bufferer"
 	"poplarwind/internal/signer"
 )
 
@@ -40,30 +42,28 @@
 	if err != nil {
 		return err
 	}
-	data, err := a.roundTrip(ctx, m, path, body)
-	if err != nil {
-		return err
-	}
-	return errors.Trace(json.Unmarshal(data, response))
+	return a.roundTrip(ctx, m, path, body, func(text []byte) error {
+		return errors.Trace(json.Unmarshal(text, response))
+	})
 }
 
-// sendThrottled sends one message within the byte budget and returns the body
-// of the verified response.
-func (a *Announcer) sendThrottled(ctx context.Context, p Member, path string, message any) ([]byte, error) {
+// sendThrottled sends one message within the byte budget and decodes the verified
+// response.
+func (a *Announcer) sendThrottled(ctx context.Context, p Member, path string, message any, decode func(text []byte) error) error {
 	body, err := pack(message)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if !a.budget.AllowN(time.Now(), min(a.budget.Burst(), len(body)+headerOverhead)) {
 		a.throttled.Add(1)
-		return nil, errPeer
+		return errPeer
 	}
-	return a.roundTrip(ctx, p, path, body)
+	return a.roundTrip(ctx, p, path, body, decode)
 }
 
 // roundTrip sends one sealed body, verifies the seal of the response and
-// returns its unpacked body.
-func (a *Announcer) roundTrip(ctx context.Context, p Member, path string, body []byte) ([]byte, error) {
+// decodes its unpacked body.
+func (a *Announcer) roundTrip(ctx context.Context, p Member, path string, body []byte, decode func(text []byte) error) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -79,23 +79,56 @@
 		deadline = limit
 	}
 	if err := a.client.DoDeadline(req, resp, deadline); err != nil {
-		return nil, errors.WithType(err, errPeer)
+		return errors.WithType(err, errPeer)
+	}
+	data, memory, err := a.read(resp.BodyStream())
+	if err != nil {
+		return errors.WithType(err, errPeer)
 	}
-	a.received.Add(int64(len(resp.Body()) + headerOverhead))
+	defer memory.Release()
+	a.received.Add(int64(len(data) + headerOverhead))
 	if resp.StatusCode() != fasthttp.StatusOK || ctx.Err() != nil {
-		return nil, errPeer
+		return errPeer
 	}
 	signature := string(resp.Header.Peek(signer.SignatureHeader))
-	if !signer.Verify(a.options.Secret, signature, []byte("answer"), []byte(nonce), resp.Body()) {
+	if !signer.Verify(a.options.Secret, signature, []byte("answer"), []byte(nonce), data) {
 		a.rejected.Add(1)
-		return nil, errPeer
+		return errPeer
 	}
-	return unpack(resp.Body())
+	text, unpacked, err := unpack(a.options.Budget, data)
+	if err != nil {
+		return err
+	}
+	defer unpacked.Release()
+	return decode(text)
+}
+
+// messageOverhead is the memory for the use of a message as a multiple of its size: its
+// contiguous text, and what is decoded from it.
+const messageOverhead = 3
+
+// read reads a packed message. The memory is to be released when it is no longer used.
+func (a *Announcer) read(r io.Reader) (data []byte, memory *bufferer.Body, err error) {
+	if r == nil {
+		return nil, nil, nil
+	}
+	memory, err = a.options.Budget.Read(bufferer.Peers, r, MaxMessage, messageOverhead)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "message of a peer")
+	}
+	return memory.Bytes(), memory, nil
 }
 
 // Handle serves one message from a peer.
 func (a *Announcer) Handle(ctx *fasthttp.RequestCtx) {
-	body := ctx.PostBody()
+	body, memory, err := a.read(ctx.RequestBodyStream())
+	if err != nil {
+		a.rejected.Add(1)
+		a.options.Log.Warn("message of a peer can't be received", "path", string(ctx.Path()), "peer", ctx.RemoteAddr().String(), "error", err.Error())
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	defer memory.Release()
 	path, nonce := ctx.Path(), ctx.Request.Header.Peek(signer.NonceHeader)
 	signature := string(ctx.Request.Header.Peek(signer.SignatureHeader))
 	a.received.Add(int64(len(body) + headerOverhead))
@@ -104,7 +137,8 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
-	body, err := unpack(body)
+	body, unpacked, err := unpack(a.options.Budget, body)
+	defer unpacked.Release()
 	if err != nil {
 		a.rejected.Add(1)
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- /dev/null
+++ b/bufferer/budget.go
@@ -0,0 +1,321 @@
+package bufferer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ErrExhausted reports that the budget had no room for a body, or that a body gave way
+// to another.
+const ErrExhausted = errors.ConstError("no memory left for message")
+
+//go:generate go tool stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind is what a body belongs to.
+type Kind int
+
+// The kinds of bodies.
+const (
+	Requests  Kind = iota // requests
+	Responses             // responses
+	Peers                 // peers
+	Store                 // store
+	// Kinds is the number of kinds.
+	Kinds // kinds
+)
+
+// class is a range of sizes.
+type class int
+
+const (
+	small class = iota
+	medium
+	large
+	classes
+)
+
+const (
+	// smallSize and mediumSize are the largest sizes of their classes, in bytes.
+	smallSize  = 64 << 10
+	mediumSize = 1 << 20
+	// roomTimeout bounds the wait of a body for room.
+	roomTimeout = time.Second
+	// checkInterval is how often a waiting body checks for others that give way.
+	checkInterval = 20 * time.Millisecond
+	// stallTime is the time without progress after which a body that is being sent
+	// gives way.
+	stallTime = time.Second
+	// firstBlock is the size in bytes of the first blocks of a body, and laterBlock
+	// that of those beyond firstBlocks.
+	firstBlock  = 4 << 10
+	laterBlock  = 64 << 10
+	firstBlocks = 16
+)
+
+// classShares holds the fraction of the budget that the bodies of each class may use
+// together, and kindShares that of each kind.
+var (
+	classShares = [classes]float64{small: 1, medium: 0.25, large: 0.65}
+	kindShares  = [Kinds]float64{Requests: 0.75, Responses: 1, Peers: 0.2, Store: 0.25}
+)
+
+// Budget bounds the memory of bodies. Its zero value has no bound. It is safe for
+// concurrent use.
+type Budget struct {
+	mu sync.Mutex
+	// limit is the bound in bytes, 0 meaning none.
+	limit int
+	// used is the sum of what bodies have reserved, in bytes, by class and by kind.
+	used     int
+	classes  [classes]int
+	kinds    [Kinds]int
+	peak     int
+	evicted  [Kinds]int64
+	rejected [Kinds]int64
+	// bodies holds the bodies that can be made to give way: those that are being
+	// received or sent.
+	bodies map[*Body]struct{}
+	// evicting counts bodies that were told to give way and have not been released.
+	evicting int
+	// freed is closed when memory is released.
+	freed chan struct{}
+	// order numbers the bodies.
+	order uint64
+	// firsts and laters hold blocks that no body uses.
+	firsts, laters [][]byte
+}
+
+// New returns a Budget of limit bytes.
+func New(limit int) *Budget { return &Budget{limit: limit} }
+
+// Limit returns the bound in bytes, 0 if there is none.
+func (g *Budget) Limit() int { return g.limit }
+
+// Usage is the use of a budget.
+type Usage struct {
+	// Limit, Used and Peak are in bytes.
+	Limit int `json:"limit"`
+	Used  int `json:"used"`
+	Peak  int `json:"peak"`
+	// Kinds is the use by kind, in bytes.
+	Kinds map[string]int `json:"kinds"`
+	// Evicted counts bodies that gave way to others, and Rejected those for which
+	// there was no room in time, by kind.
+	Evicted  map[string]int64 `json:"evicted"`
+	Rejected map[string]int64 `json:"rejected"`
+}
+
+// Usage returns the current use of the budget.
+func (g *Budget) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := Usage{Limit: g.limit, Used: g.used, Peak: g.peak, Kinds: make(map[string]int), Evicted: make(map[string]int64), Rejected: make(map[string]int64)}
+	for k := range Kinds {
+		out.Kinds[k.String()], out.Evicted[k.String()], out.Rejected[k.String()] = g.kinds[k], g.evicted[k], g.rejected[k]
+	}
+	return out
+}
+
+// ampleFraction is the fraction of the budget below whose use it is ample.
+const ampleFraction = 0.5
+
+// Ample reports whether the budget has room for messages that could also be received later.
+func (g *Budget) Ample() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limit == 0 || g.used < g.share(ampleFraction)
+}
+
+// Trim releases the blocks that no body uses.
+func (g *Budget) Trim() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.firsts, g.laters = nil, nil
+}
+
+// classOf returns the class of a body of n bytes. Messages of other entries and of the store
+// are few, and nothing works without them: they give way to none.
+func classOf(k Kind, n int) class {
+	switch {
+	case n <= smallSize || k == Peers || k == Store:
+		return small
+	case n <= mediumSize:
+		return medium
+	}
+	return large
+}
+
+// share returns a fraction of the budget in bytes.
+func (g *Budget) share(fraction float64) int { return int(fraction * float64(g.limit)) }
+
+// shortage is what prevents a body from growing.
+type shortage struct {
+	// class, kind and total are set if the body's class, its kind and the budget have
+	// no room.
+	class, kind, total bool
+}
+
+// shortage returns what prevents a body from growing by n bytes.
+func (g *Budget) shortage(b *Body, n int) shortage {
+	if g.limit == 0 {
+		return shortage{}
+	}
+	after, need := b.classAfter(n), n
+	if after != b.classAfter(0) {
+		need += b.reserved
+	}
+	return shortage{
+		class: g.classes[after]+need > g.share(classShares[after]),
+		kind:  g.kinds[b.kind]+n > g.share(kindShares[b.kind]),
+		total: g.used+n > g.limit,
+	}
+}
+
+// admits reports whether a body of n bytes has room if there is no other.
+func (g *Budget) admits(k Kind, n int) bool {
+	return g.limit == 0 || n <= g.share(min(classShares[classOf(k, n)], kindShares[k]))
+}
+
+// resize changes what a body has reserved by n bytes.
+func (g *Budget) resize(b *Body, n int) {
+	g.classes[b.classAfter(0)] -= b.reserved
+	b.reserved += n
+	g.classes[b.classAfter(0)] += b.reserved
+	g.kinds[b.kind] += n
+	g.used += n
+	g.peak = max(g.peak, g.used)
+	if n < 0 {
+		g.wake()
+	}
+}
+
+// victim returns the body that gives way so that b can grow by n bytes, nil if there is
+// none.
+func (g *Budget) victim(now time.Time, b *Body, n int, s shortage) *Body {
+	var out *Body
+	for o := range g.bodies {
+		relieves := (!s.class || o.classAfter(0) == b.classAfter(n)) && (!s.kind || o.kind == b.kind)
+		if o == b || o.ended != nil || o.reserved == 0 || !relieves || !o.yields(now, b, n) {
+			continue
+		}
+		if out == nil || o.yieldsBefore(now, out) {
+			out = o
+		}
+	}
+	return out
+}
+
+// evict makes a body give way. Its owner notices by an error, and releases it.
+func (g *Budget) evict(b *Body) {
+	b.ended, b.evicted = ErrExhausted, true
+	g.evicting++
+	g.evicted[b.kind]++
+	if b.abort != nil {
+		b.abort()
+	}
+	g.wake()
+}
+
+// wake makes waiting bodies check for room. The lock must be held.
+func (g *Budget) wake() {
+	if g.freed != nil {
+		close(g.freed)
+		g.freed = nil
+	}
+}
+
+// wait waits until memory may have been released, at most for d. The lock must be held;
+// it is released meanwhile.
+func (g *Budget) wait(d time.Duration) {
+	if g.freed == nil {
+		g.freed = make(chan struct{})
+	}
+	freed := g.freed
+	g.mu.Unlock()
+	timer := time.NewTimer(d)
+	select {
+	case <-freed:
+	case <-timer.C:
+	}
+	timer.Stop()
+	g.mu.Lock()
+}
+
+// reserve grows what a body has reserved by n bytes. It waits for room, and returns
+// ErrExhausted if there is none in time or the body has to give way.
+func (g *Budget) reserve(b *Body, n int) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b.ended == nil && g.shortage(b, n) == (shortage{}) {
+		g.resize(b, n)
+		return nil
+	}
+	b.wanted = n
+	defer func() { b.wanted = 0 }()
+	now := time.Now()
+	end := now.Add(roomTimeout)
+	if !b.deadline.IsZero() && b.deadline.Before(end) {
+		end = b.deadline
+	}
+	for nextCheck := now; ; {
+		s := g.shortage(b, n)
+		now = time.Now()
+		switch {
+		case b.ended != nil:
+			return b.ended
+		case s == shortage{}:
+			g.resize(b, n)
+			return nil
+		case !now.Before(end):
+			g.rejected[b.kind]++
+			return ErrExhausted
+		}
+		if g.evicting == 0 && !now.Before(nextCheck) {
+			nextCheck = now.Add(checkInterval)
+			if v := g.victim(now, b, n, s); v != nil {
+				g.evict(v)
+				nextCheck = now
+			}
+		}
+		g.wait(min(checkInterval, end.Sub(now)))
+	}
+}
+
+// block returns a block that no body uses, or a new one. The memory must be reserved.
+func (g *Budget) block(size int) []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := &g.firsts
+	if size == laterBlock {
+		list = &g.laters
+	}
+	if n := len(*list); n > 0 {
+		out := (*list)[n-1]
+		*list = (*list)[:n-1]
+		return out
+	}
+	return make([]byte, size)
+}
+
+// release ends a body and takes its blocks back.
+func (g *Budget) release(b *Body) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b.evicted {
+		b.evicted = false
+		g.evicting--
+	}
+	b.ended = errReleased
+	delete(g.bodies, b)
+	for _, p := range b.blocks {
+		if len(p) == laterBlock {
+			g.laters = append(g.laters, p)
+		} else {
+			g.firsts = append(g.firsts, p)
+		}
+	}
+	b.blocks, b.size = nil, 0
+	g.resize(b, -b.reserved)
+}
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -34,7 +34,7 @@
 func (x *exchange) fingerprint() quarantiner.Fingerprint {
 	if !x.hasPrint {
 		h := &x.call.Request.Header
-		x.print = quarantiner.FingerprintOf(h.Method(), h.Host(), h.RequestURI(), h.Peek("Authorization"), h.Peek("Cookie"), x.call.Request.Body())
+		x.print = quarantiner.FingerprintOfMessage(x.call.Body, h.Method(), h.Host(), h.RequestURI(), h.Peek("Authorization"), h.Peek("Cookie"))
 		x.hasPrint = true
 	}
 	return x.print
@@ -70,7 +70,7 @@
 func connectionLost(err error) bool {
 	var netErr net.Error
 	timeout := errors.As(err, &netErr) && netErr.Timeout()
-	return err != nil && !timeout && !errors.Is(err, errIncomplete) && !errors.Is(err, errOverdue) && !errors.Is(err, pooler.ErrTooLarge)
+	return err != nil && !timeout && !errors.Is(err, errIncomplete) && !errors.Is(err, errOverdue) && !errors.Is(err, pooler.ErrTooLarge) && !errors.Is(err, pooler.ErrExhausted)
 }
 
 // recordLost records that an upstream gave no response to the request and closed the
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/pooler"
@@ -57,6 +58,8 @@
 	// MaxResponseBody is the maximum size of a response body in bytes. 0 means
 	// 16 MiB.
 	MaxResponseBody int
+	// Budget bounds the memory of responses. Nil means that it has no bound.
+	Budget *bufferer.Budget
 	// Entries returns the current set of entries and their assignment to a
 	// service. Nil means a single entry.
 	Entries func(service string) EntrySet
@@ -148,8 +151,8 @@
 		o.Dial = dialTCP
 	}
 	f := &Forwarder{options: o, services: make(map[string]*service)}
-	f.entries = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: o.Dial}
-	f.pool = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: f.dialUpstream}
+	f.entries = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: o.Dial, Budget: o.Budget}
+	f.pool = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: f.dialUpstream, Budget: o.Budget}
 	return f
 }
 
@@ -284,7 +287,7 @@
 	if x.route == nil {
 		return x, errNoRoute
 	}
-	if limit := t.Limits().Body; limit > 0 && len(c.Request.Body()) > limit {
+	if limit := t.Limits().Body; limit > 0 && c.Body.Len() > limit {
 		return x, errBodyTooLarge
 	}
 	x.setDeadlines()
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -21,6 +21,9 @@
 	// stragglerTimeout the wait for the others after it.
 	probeTimeout     = 60 * time.Millisecond
 	stragglerTimeout = 8 * time.Millisecond
+	// maxProbeBody is the maximum size of the body of a response to a load probe in
+	// bytes. Nothing reads it.
+	maxProbeBody = 16 << 10
 )
 
 // candidate is an upstream that the request may be sent to.
@@ -357,7 +360,7 @@
 	if err := c.Send(req); err != nil {
 		return ResponseInfo{}, false
 	}
-	if err := c.Receive(resp, false, x.forwarder.options.MaxResponseBody); err != nil {
+	if err := c.Receive(resp, false, maxProbeBody); err != nil {
 		return ResponseInfo{}, false
 	}
 	info := x.parseResponse(u, resp, sourceProbe)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -96,6 +96,7 @@
 	o.sent = c.Written()
 	if o.resp == nil {
 		f.pool.Discard(c)
+		x.logExhausted(u, o.err)
 		if o.sent && !o.disconnected && connectionLost(o.err) {
 			x.recordLost(u, o.err)
 		}
@@ -104,7 +105,7 @@
 	info := f.options.Dialect.ParseResponse(&o.resp.Header, time.Now())
 	o.notRun = info.NotRun
 	x.applyResponseInfo(u, info, cand.attempt.StartedAt(), sourceRequest)
-	early := len(x.call.Request.Body()) > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
+	early := x.call.Body.Len() > earlyResponseBody && o.resp.StatusCode() >= fasthttp.StatusBadRequest
 	if o.disconnected || early || info.Leaving || o.resp.ConnectionClose() || !c.Clean() {
 		f.pool.Discard(c)
 		return
@@ -113,6 +114,13 @@
 	f.pool.Put(c)
 }
 
+// logExhausted logs a response that was broken off because it had no room in memory.
+func (x *exchange) logExhausted(u *placer.Upstream, err error) {
+	if errors.Is(err, pooler.ErrExhausted) || errors.Is(err, pooler.ErrTooLarge) {
+		x.forwarder.options.Log.Warn("response broken off", "request", string(x.id), "upstream", u.ID(), "service", x.service.name, "error", err.Error())
+	}
+}
+
 // overdueFactor is the multiple of the expected duration after which a response is
 // overdue. Fewer than one in a hundred responses take that long at a healthy
 // upstream.
@@ -187,7 +195,9 @@
 	sanitizer.StripHopByHop(&req.Header)
 	req.Header.ResetConnectionClose()
 	req.UseHostHeader = true
-	req.SetBodyRaw(x.call.Request.Body())
+	if n := x.call.Body.Len(); n > 0 {
+		req.SetBodyStream(x.call.Body.NewStream(), n)
+	}
 }
 
 // maxResponses bounds how many responses are read to find the one to this
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/router"
@@ -337,16 +338,20 @@
 // send sends one request and returns its response.
 func send(f *Forwarder, path, id string) *fasthttp.Response {
 	var req fasthttp.Request
+	body := (&bufferer.Budget{}).NewBody(bufferer.Requests, nil)
+	defer body.Release()
 	req.Header.SetMethod("GET")
 	if strings.HasPrefix(path, "/order/") {
 		req.Header.SetMethod("POST")
-		req.SetBodyString("an order")
+		if err := body.ReadAll(strings.NewReader("an order"), 0); err != nil {
+			panic(err)
+		}
 	}
 	req.SetRequestURI(path)
 	req.Header.SetHost("h")
 	req.Header.Set("Id", id)
 	req.Header.Set("Wait", "1500ms")
-	c := pipeliner.Call{Request: &req, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
+	c := pipeliner.Call{Request: &req, Body: body, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
 	f.Handle(context.Background(), &c)
 	return c.Response
 }
--- a/pipeliner/call.go
+++ b/pipeliner/call.go
@@ -5,15 +5,21 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/bufferer"
 )
 
 // Call is one request of a caller and the response to it.
 type Call struct {
-	// Request is the complete request. A handler must not use it after it
+	// Request is the request without its body. A handler must not use it after it
 	// returns.
 	Request *fasthttp.Request
+	// Body is the body of the request, nil if it has none. A handler must not use it after
+	// it returns.
+	Body *bufferer.Body
 	// Response is the response, which the handler sets. It may replace it by
-	// another one from fasthttp's pool.
+	// another one from fasthttp's pool. A body that is a stream must be one of
+	// bufferer.
 	Response *fasthttp.Response
 	// ArrivedAt is when the first bytes of the request were read.
 	ArrivedAt time.Time
@@ -49,7 +55,24 @@
 	return p
 }
 
+// responseBody returns the body of the response, nil if it is not in a body of its own.
+func (p *pendingCall) responseBody() *bufferer.Body {
+	if s, ok := p.Response.BodyStream().(*bufferer.Stream); ok {
+		return s.Body()
+	}
+	return nil
+}
+
+// responseSize returns the size of the body of the response in bytes.
+func (p *pendingCall) responseSize() int {
+	if b := p.responseBody(); b != nil {
+		return b.Len()
+	}
+	return len(p.Response.Body())
+}
+
 func (p *pendingCall) release() {
+	p.Body.Release()
 	fasthttp.ReleaseRequest(p.Request)
 	fasthttp.ReleaseResponse(p.Response)
 }
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"poplarwind/bufferer"
 	"poplarwind/internal/inspector"
 )
 
@@ -44,6 +45,8 @@
 	cancel context.CancelFunc
 	// changed receives a value when calls were answered, for the reader.
 	changed chan struct{}
+	// buffer is the memory of the reader's buffer, nil while it holds none.
+	buffer *bufferer.Body
 
 	mu sync.Mutex
 	// pending holds the calls that have not been answered, in the order of the
@@ -66,6 +69,7 @@
 func (c *conn) serve() {
 	defer c.server.remove(c)
 	defer c.cancel()
+	defer func() { c.buffer.Release() }()
 	var r *bufio.Reader
 	for c.awaitRoom() {
 		if r == nil {
@@ -87,7 +91,8 @@
 		buffered := r.Buffered() > 0
 		if !buffered {
 			c.server.readers.Put(r)
-			r = nil
+			c.buffer.Release()
+			r, c.buffer = nil, nil
 		}
 		p.last = p.last || p.Request.Header.ConnectionClose() || c.server.draining.Load() && !buffered
 		c.enqueue(p)
@@ -101,7 +106,14 @@
 // awaitRoom waits until there is room for another pending call. It returns false
 // if the connection accepts no further request.
 func (c *conn) awaitRoom() bool {
-	return c.await(func() bool { return c.closing || len(c.pending) < maxPending && c.bytes < maxPendingBytes }) && !c.isClosing()
+	return c.await(func() bool { return c.closing || c.hasRoom() }) && !c.isClosing()
+}
+
+// hasRoom reports whether there is room for another pending call. While memory is short, a
+// connection has one call at a time, so that those of other connections have room. The
+// lock must be held.
+func (c *conn) hasRoom() bool {
+	return len(c.pending) == 0 || len(c.pending) < maxPending && c.bytes < maxPendingBytes && c.server.options.Budget.Ample()
 }
 
 // awaitEnd waits until all calls have been answered, and closes the connection.
@@ -209,21 +221,46 @@
 	_ = c.net.SetReadDeadline(deadline)
 }
 
+// interruptRead makes reading from the caller fail at once.
+func (c *conn) interruptRead() { _ = c.net.SetReadDeadline(time.Unix(1, 0)) }
+
+const (
+	// callOverhead is the memory of a call without its headers and bodies, in bytes: the
+	// objects of the request and the response, and the stacks of its goroutines.
+	callOverhead = 12 << 10
+	// headerCopies is the memory of a parsed header as a multiple of its size.
+	headerCopies = 3
+)
+
 // read reads a request.
 func (c *conn) read(r *bufio.Reader, p *pendingCall) error {
+	budget := c.server.options.Budget
+	if c.buffer == nil {
+		c.buffer = budget.NewBody(bufferer.Requests, c.interruptRead)
+		if err := c.buffer.Reserve(r.Size()); err != nil {
+			return err
+		}
+	}
 	if err := readHeader(r, p.Request); err != nil {
 		return err
 	}
+	if err := c.buffer.Complete(); err != nil {
+		return err
+	}
+	p.Body = budget.NewBody(bufferer.Requests, c.interruptRead)
+	if err := p.Body.Reserve(callOverhead + headerCopies*len(p.Request.Header.RawHeaders())); err != nil {
+		return err
+	}
 	if p.Request.MayContinue() {
 		if err := c.sendContinue(); err != nil {
 			return err
 		}
 	}
-	if err := p.Request.ContinueReadBody(r, c.server.options.MaxBody, false); err != nil {
+	if err := readBody(r, p.Request, p.Body, c.server.options.MaxBody); err != nil {
 		return err
 	}
-	p.size = len(p.Request.Body())
-	return nil
+	p.size = p.Body.Len()
+	return p.Body.Complete()
 }
 
 // sendContinue asks the caller for the body of a request, once the requests ahead
@@ -248,6 +285,7 @@
 	}
 	c.server.options.Log.Info("request can't be read", "caller", c.net.RemoteAddr().String(), "error", err.Error())
 	setReadError(p.Response, err)
+	p.Body.Release()
 	p.done, p.last, p.concurrent = true, true, true
 	return true
 }
--- a/pipeliner/request.go
+++ b/pipeliner/request.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
+	"net/http/httputil"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/bufferer"
 )
 
 // ErrConflictingLengths reports a request that specifies the length of its body
@@ -24,6 +28,41 @@
 	return nil
 }
 
+// Values that fasthttp reports as the content length of requests without one.
+const (
+	chunked  = -1
+	bodyless = -2
+)
+
+// readBody reads the body of a request of at most limit bytes, 0 meaning that it is not
+// limited. Its length is then that of the body, whether or not it came in chunks.
+func readBody(r *bufio.Reader, req *fasthttp.Request, b *bufferer.Body, limit int) error {
+	n := req.Header.ContentLength()
+	if n == bodyless {
+		return nil
+	}
+	if limit > 0 && n > limit {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if n != chunked {
+		return b.ReadN(r, n)
+	}
+	err := b.ReadAll(httputil.NewChunkedReader(r), limit)
+	if errors.Is(err, bufferer.ErrTooLarge) {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if err == nil {
+		err = req.Header.ReadTrailer(r)
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if b.Len() == 0 {
+		req.Header.SetContentLength(0)
+	}
+	return err
+}
+
 // hasConflictingLengths reports whether raw headers specify the length of the
 // body more than once.
 func hasConflictingLengths(raw []byte) bool {
@@ -41,11 +80,17 @@
 	return lengths+encodings > 1
 }
 
+// exhaustedRetryAfter is the Retry-After value in seconds of a request for which there is no
+// memory left.
+const exhaustedRetryAfter = "0.5"
+
 // setReadError sets the response to a request that cannot be read.
 func setReadError(resp *fasthttp.Response, err error) {
 	status := fasthttp.StatusBadRequest
 	var headerErr *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, bufferer.ErrExhausted):
+		status = fasthttp.StatusServiceUnavailable
 	case isTimeout(err):
 		status = fasthttp.StatusRequestTimeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -55,6 +100,9 @@
 	}
 	resp.Reset()
 	resp.SetStatusCode(status)
+	if status == fasthttp.StatusServiceUnavailable {
+		resp.Header.Set("Retry-After", exhaustedRetryAfter)
+	}
 	resp.Header.SetContentType("application/json")
 	resp.SetBodyString(`{"error":"request can't be read"}`)
 }
--- a/pipeliner/respond.go
+++ b/pipeliner/respond.go
@@ -49,7 +49,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.done = true
-	size := len(p.Response.Body())
+	size := p.responseSize()
 	p.size += size
 	c.bytes += size
 	c.writeResponses()
@@ -115,6 +115,9 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(transferTimeout)); err != nil {
 		return errors.Trace(err)
 	}
+	if b := p.responseBody(); b != nil {
+		b.Send(func() { _ = conn.SetWriteDeadline(time.Unix(1, 0)) })
+	}
 	h := &p.Response.Header
 	switch {
 	case p.last:
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -13,6 +13,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/bufferer"
 )
 
 // Options configures a Server.
@@ -21,6 +23,8 @@
 	Handler Handler
 	// MaxHeader and MaxBody bound the sizes of a request in bytes.
 	MaxHeader, MaxBody int
+	// Budget bounds the memory of requests and responses. Nil means that it has no bound.
+	Budget *bufferer.Budget
 	// MaxConns bounds the open connections.
 	MaxConns int
 	// IdleTimeout returns how long a connection may stay without a request.
@@ -50,6 +54,9 @@
 
 // New returns a Server.
 func New(o Options) *Server {
+	if o.Budget == nil {
+		o.Budget = &bufferer.Budget{}
+	}
 	s := &Server{options: o, conns: make(map[*conn]struct{})}
 	s.readers.New = func() any { return bufio.NewReaderSize(nil, o.MaxHeader) }
 	s.writers.New = func() any { return bufio.NewWriterSize(nil, writeBufferSize) }
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http/httputil"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/bufferer"
 	"poplarwind/internal/inspector"
 )
 
@@ -19,6 +21,8 @@
 	ErrTruncated = errors.ConstError("answer was cut off")
 	// ErrTooLarge reports a response that exceeds the size limit.
 	ErrTooLarge = errors.ConstError("answer is too large")
+	// ErrExhausted reports a response for which there is no memory left.
+	ErrExhausted = bufferer.ErrExhausted
 )
 
 // maxInterim bounds the interim (1xx) responses read before the final one.
@@ -42,6 +46,12 @@
 	// is being received, valid if receiving is set.
 	readable  int
 	receiving bool
+	// budget bounds the memory of responses. body is the one that is being received, nil
+	// if there is none.
+	budget *bufferer.Budget
+	body   atomic.Pointer[bufferer.Body]
+	// deadline is the deadline of the exchange, the zero time meaning none.
+	deadline time.Time
 	// written counts the bytes that the kernel accepted in this exchange.
 	written atomic.Int64
 	// idleSince is when the connection was returned to its pool, and maxIdle how
@@ -86,10 +96,21 @@
 func (c *Conn) Written() bool { return c.written.Load() > 0 }
 
 // Abort makes the exchange in progress fail at once.
-func (c *Conn) Abort() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
+func (c *Conn) Abort() {
+	c.interrupt()
+	if b := c.body.Load(); b != nil {
+		b.Cancel(ErrTruncated)
+	}
+}
+
+// interrupt makes reading and writing fail at once.
+func (c *Conn) interrupt() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
 
 // SetDeadline sets the deadline of the exchange, the zero time meaning none.
-func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+func (c *Conn) SetDeadline(t time.Time) {
+	c.deadline = t
+	_ = c.net.SetDeadline(t)
+}
 
 // Send writes the request and flushes it.
 func (c *Conn) Send(req *fasthttp.Request) error {
@@ -115,7 +136,9 @@
 // Receive reads a complete response with a body of at most maxBody bytes, 0 meaning
 // that it is not limited. head indicates that the request method was HEAD, whose
 // response has no body. Receive returns ErrTruncated if the end of the response cannot
-// be distinguished from a truncation.
+// be distinguished from a truncation, and ErrExhausted if the pool's budget has no room
+// for it. The body of the response is a stream from memory, which is released with the
+// response.
 func (c *Conn) Receive(resp *fasthttp.Response, head bool, maxBody int) error {
 	return c.receive(resp, head, maxBody, false)
 }
@@ -151,22 +174,52 @@
 		return nil
 	}
 	n := resp.Header.ContentLength()
-	if n == endsByClose && !allowClose {
+	switch {
+	case n == endsByClose && !allowClose:
 		return errors.Annotate(ErrTruncated, "answer without a length")
-	}
-	err := resp.ReadBody(c.read, maxBody)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	case maxBody > 0 && n > maxBody:
 		return errors.Trace(ErrTooLarge)
 	}
+	b := c.budget.NewBody(bufferer.Responses, c.interrupt)
+	b.SetDeadline(c.deadline)
+	c.body.Store(b)
+	defer c.body.Store(nil)
+	err := c.readBody(resp, b, n, maxBody)
+	if err == nil {
+		err = b.Complete()
+	}
 	if err != nil {
-		return errors.WithType(err, ErrTruncated)
+		b.Release()
+		return bodyError(err)
 	}
-	if n == chunked {
-		if err := resp.Header.ReadTrailer(c.read); err != nil {
-			return errors.WithType(err, ErrTruncated)
+	resp.SetBodyStream(b.OwnStream(), b.Len())
+	return nil
+}
+
+// readBody reads the body of a response, whose length is n or one of the values that
+// fasthttp reports instead.
+func (c *Conn) readBody(resp *fasthttp.Response, b *bufferer.Body, n, maxBody int) error {
+	switch n {
+	case endsByClose:
+		return b.ReadAll(c.read, maxBody)
+	case chunked:
+		if err := b.ReadAll(httputil.NewChunkedReader(c.read), maxBody); err != nil {
+			return err
 		}
+		return resp.Header.ReadTrailer(c.read)
 	}
-	return nil
+	return b.ReadN(c.read, n)
+}
+
+// bodyError returns the error of a response whose body can't be read.
+func bodyError(err error) error {
+	switch {
+	case errors.Is(err, bufferer.ErrTooLarge), errors.Is(err, ErrTooLarge):
+		return errors.Trace(ErrTooLarge)
+	case errors.Is(err, ErrExhausted):
+		return errors.Trace(ErrExhausted)
+	}
+	return errors.WithType(err, ErrTruncated)
 }
 
 // Values that fasthttp reports as the content length of responses without one.
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"poplarwind/bufferer"
 	"poplarwind/internal/inspector"
 )
 
@@ -34,6 +35,8 @@
 	// BufferSize is the size of the read buffer, which bounds the headers of a
 	// response, in bytes, 0 meaning 16 KiB.
 	BufferSize int
+	// Budget bounds the memory of responses. Nil means that it has no bound.
+	Budget *bufferer.Budget
 
 	mu sync.Mutex
 	// servers is keyed by address.
@@ -149,12 +152,18 @@
 	if size == 0 {
 		size = defaultBufferSize
 	}
-	c := &Conn{net: n, addr: addr}
+	c := &Conn{net: n, addr: addr, budget: p.Budget}
+	if c.budget == nil {
+		c.budget = &unbounded
+	}
 	c.read = bufio.NewReaderSize(c, size)
 	c.write = bufio.NewWriterSize(c, min(size, defaultBufferSize))
 	return c, nil
 }
 
+// unbounded is the budget of pools without one.
+var unbounded bufferer.Budget
+
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr)
--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -192,17 +192,17 @@
 	sum := uint64(0)
 	for f, r := range t.records {
 		if len(r.crashes) >= crashThreshold {
-			sum ^= hash(f, Process{})
+			sum ^= checksum(f, Process{})
 			continue
 		}
 		for _, c := range r.crashes {
-			sum ^= hash(f, c.Process)
+			sum ^= checksum(f, c.Process)
 		}
 	}
 	return sum
 }
 
-func hash(f Fingerprint, p Process) uint64 {
+func checksum(f Fingerprint, p Process) uint64 {
 	h := fnv.New64a()
 	h.Write(f[:])
 	h.Write(binary.BigEndian.AppendUint64([]byte(p.Upstream), uint64(p.StartedAt)))
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -19,6 +19,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"poplarwind/announcer"
+	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/quarantiner"
 	"poplarwind/reacher"
@@ -43,6 +44,8 @@
 	StoreEra func() uint64
 	// StoreCalls returns the number of calls made to the store.
 	StoreCalls func() int64
+	// Memory returns the use of the memory for messages.
+	Memory func() bufferer.Usage
 	// UnreadHeaders returns the number of headers of responses that nothing reads, by
 	// name.
 	UnreadHeaders func() map[string]int64
@@ -106,6 +109,8 @@
 			}
 			return n
 		})},
+		{"poplarwind.memory.evicted", "Messages that gave way to others in memory, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Evicted })},
+		{"poplarwind.memory.rejected", "Messages for which there was no memory left, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Rejected })},
 		{"poplarwind.headers.unread", "Headers of responses that nothing reads, by name.", func(o metric.Observer, i metric.Int64Observable) {
 			for name, n := range g.sources.UnreadHeaders() {
 				o.ObserveInt64(i, n, metric.WithAttributes(attribute.String("name", name)))
@@ -136,6 +141,15 @@
 	}
 }
 
+// perKind returns a callback that observes one value of each kind of message.
+func (g *Gateway) perKind(values func(bufferer.Usage) map[string]int64) func(metric.Observer, metric.Int64Observable) {
+	return func(o metric.Observer, i metric.Int64Observable) {
+		for kind, n := range values(g.sources.Memory()) {
+			o.ObserveInt64(i, n, metric.WithAttributes(attribute.String("kind", kind)))
+		}
+	}
+}
+
 // registerGauges registers the gauges that are read at each scrape.
 func (g *Gateway) registerGauges(meter metric.Meter) error {
 	for _, v := range []struct {
@@ -144,6 +158,13 @@
 	}{
 		{"poplarwind.store.calls", "Calls to the platform's store.", g.scalar(func() float64 { return float64(g.sources.StoreCalls()) })},
 		{"poplarwind.store.era", "Era of the platform's store as of the last read.", g.scalar(func() float64 { return float64(g.sources.StoreEra()) })},
+		{"poplarwind.memory.used", "Memory of messages in bytes, by kind.", func(o metric.Observer, i metric.Float64Observable) {
+			for kind, n := range g.sources.Memory().Kinds {
+				o.ObserveFloat64(i, float64(n), metric.WithAttributes(attribute.String("kind", kind)))
+			}
+		}},
+		{"poplarwind.memory.peak", "Highest memory of messages since the start in bytes.", g.scalar(func() float64 { return float64(g.sources.Memory().Peak) })},
+		{"poplarwind.memory.limit", "Memory that messages may use in bytes.", g.scalar(func() float64 { return float64(g.sources.Memory().Limit) })},
 		{"poplarwind.log.dropped", "Log lines dropped for a slow reader.", g.scalar(func() float64 { return float64(g.sources.DroppedLogLines()) })},
 		{"poplarwind.entries.live", "Live entries as this one sees them.", g.scalar(func() float64 { return float64(len(g.sources.Table.Live(time.Now()))) })},
 		{"poplarwind.requests.running", "Requests in flight.", g.scalar(func() float64 { return float64(g.sources.Forwarder.InFlight()) })},
@@ -272,6 +293,7 @@
 	StoreEra   uint64               `json:"era"`
 	Peers      announcer.Traffic    `json:"peers"`
 	InFlight   int                  `json:"running"`
+	Memory     bufferer.Usage       `json:"memory"`
 }
 
 // Status returns the current state of the entry.
@@ -281,7 +303,7 @@
 	out := GatewayStatus{
 		Entry: s.Name, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
-		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(),
+		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
 		out.Version = t.Version()
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"poplarwind/announcer"
+	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/internal/sleeper"
 	"poplarwind/parser"
@@ -32,9 +33,11 @@
 type Gateway struct {
 	process *parser.Process
 	// start is when the daemon was started.
-	start       time.Time
-	log         *slog.Logger
-	store       *platform.Store
+	start time.Time
+	log   *slog.Logger
+	store *platform.Store
+	// budget bounds the memory of all messages.
+	budget      *bufferer.Budget
 	state       *tracker.State
 	tracker     *tracker.Tracker
 	table       *announcer.Table
@@ -89,8 +92,9 @@
 func NewGateway(p *parser.Process, log *slog.Logger, dropped func() int64) (*Gateway, error) {
 	start := time.Now()
 	o := p.Gateway()
+	budget := bufferer.New(budgetBytes(o.MemoryLimitMiB()))
 	unread := platform.NewUnreadHeaders(log)
-	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log, unread)}
+	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log, unread, budget), budget: budget}
 	g.expiry.Hold = time.Duration(expiryHoldFraction * float64(o.UpstreamDrainTimeout()))
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
@@ -102,6 +106,7 @@
 		Instances: func() []storer.Instance { return []storer.Instance{} }, ApplyInstances: func([]storer.Instance) {},
 		DomainLocal: true,
 		Handler:     g.servePeer,
+		Budget:      budget,
 		Log:         log,
 	})
 	g.tracker = tracker.New(g.state, g.store, g.announcer, p.Name(), func() []announcer.Member { return g.table.Live(time.Now()) }, log)
@@ -117,7 +122,7 @@
 	g.requestLog = reporter.NewRequestLogger(log)
 	ratio, extra, window := o.RetryBudget()
 	g.forwarder = forwarder.New(forwarder.Options{
-		Dialect: platform.Dialect{Unread: unread}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Log: log,
+		Dialect: platform.Dialect{Unread: unread}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Budget: budget, Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Quarantine:  quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
@@ -127,13 +132,13 @@
 		Upstreams: g.forwarder.Upstreams, Dial: g.forwarder.TryUpstream, Log: log,
 	})
 	g.callers = pipeliner.New(pipeliner.Options{
-		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), MaxConns: p.MaxConns(),
+		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), Budget: budget, MaxConns: p.MaxConns(),
 		IdleTimeout: g.callerIdleTimeout, Log: log,
 	})
 	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
@@ -164,7 +169,7 @@
 	o := p.Gateway()
 	small := listener{body: opsMaxBody, header: internalMaxHeader, conns: internalMaxConns}
 	g.listeners = []gatewayListener{
-		{address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns}},
+		{address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns, stream: true}},
 		{address: p.Ops(), handle: g.reporter.Handle, idleTimeout: idleTimeout, listener: small},
 		{address: o.ResolveAddr(), handle: platform.ResolveHandler(g.resolve), idleTimeout: idleTimeout, listener: small},
 		{address: o.ReadyAddr(), handle: platform.ReadyHandler(g.ready), idleTimeout: idleTimeout, listener: small},
@@ -225,7 +230,23 @@
 // heapFraction is the fraction of the process's memory that is set as the Go
 // memory limit, above which the garbage collector runs more often. The rest is
 // for stacks, the program, and data received but not yet read.
-const heapFraction = 0.55
+const heapFraction = 0.75
+
+const (
+	// budgetFraction is the fraction of the process's memory that messages may use.
+	budgetFraction = 0.4
+	// defaultMemory is the assumed memory of a process without a memory limit, in MiB.
+	defaultMemory = 512
+)
+
+// budgetBytes returns the memory for messages of a process with a memory limit in MiB, 0
+// meaning that it has none.
+func budgetBytes(limit int) int {
+	if limit == 0 {
+		limit = defaultMemory
+	}
+	return int(budgetFraction * float64(limit<<20))
+}
 
 // Run serves until ctx ends, then shuts down gracefully and returns.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -270,6 +291,7 @@
 	for ctx.Err() == nil {
 		sleeper.Sleep(ctx, trimInterval)
 		g.forwarder.Trim()
+		g.budget.Trim()
 	}
 	return nil
 }
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -34,6 +34,8 @@
 	net.Listener
 	// body and header are limits in bytes; conns limits the open connections.
 	body, header, conns int
+	// stream is set if the handler reads the bodies of requests itself.
+	stream bool
 }
 
 func (l listener) addr() string { return l.Addr().String() }
@@ -46,7 +48,7 @@
 		listener listener
 	}{
 		{p.Callers(), listener{body: p.MaxBodyBytes(), header: p.MaxHeaderBytes(), conns: p.MaxConns()}},
-		{p.Peers(), listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns}},
+		{p.Peers(), listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns, stream: true}},
 		{p.Ops(), listener{body: opsMaxBody, header: internalMaxHeader, conns: internalMaxConns}},
 	} {
 		l, err := net.Listen("tcp", d.addr)
@@ -77,7 +79,7 @@
 		Handler: handle, ErrorHandler: handleReadError, MaxRequestBodySize: l.body, ReadBufferSize: l.header,
 		Concurrency: l.conns, ReadTimeout: transferTimeout, WriteTimeout: transferTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, CloseOnShutdown: true,
-		DisablePreParseMultipartForm: true, Logger: discardLogger{},
+		DisablePreParseMultipartForm: true, StreamRequestBody: l.stream, Logger: discardLogger{},
 	}
 }
 
--- a/runner/register_test.go
+++ b/runner/register_test.go
@@ -60,7 +60,7 @@
 	for i := range 3 {
 		entries = append(entries, s.start(fmt.Sprint("e", i), "1s"))
 	}
-	client := platform.NewStore(s.addr, slog.New(slog.DiscardHandler), nil)
+	client := platform.NewStore(s.addr, slog.New(slog.DiscardHandler), nil, nil)
 	await := func() {
 		t.Helper()
 		for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
