forwarder: only an entry states that a relayed request did not run

Cause: relayTo took every 503 without a stamp for the other entry's statement that the request had not run, and relayed it once more. The other entry passes an upstream's own 503 on in the same form, with the request's ID. The same mistake stood on the direct path, in the other direction: a 503 or 429 of an upstream that does not state Not-Executed was passed on, and callers take these statuses for the promise that the request has not run.

Ruled out: a second relay after a lost answer (the servers' log shows a complete 503 before the second run), and the retry of the other entry (it sends a non-idempotent request once).

Change: a response is the other entry's own if it has neither ID nor stamp, which is what entries of all builds send and no upstream's response that is passed on lacks. For non-idempotent requests an upstream's 503, 429, 408 or 421 without proof is replaced by a 502 of the entry, logged as such; idempotent ones are sent to another upstream, as after a 500.

Looked at on related paths: 421 is decoded as not run, which the platform states; the queue's and the reader's own 503 and 408 come before any send; relayed rejections count attempts.

Evidence: TestRelayedRequestRunsTwiceAfterError on the commit before: 2 runs and status 200, and status 429 after a run; now 1 run, 502.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -32,6 +32,7 @@
 	errTimeout      = errors.ConstError("time limit passed")
 	errNoRetry      = errors.ConstError("not run, and no retry is left")
 	errIncomplete   = errors.ConstError("upstream gave no whole answer")
+	errUnproven     = errors.ConstError("upstream rejected the request without stating that it did not run")
 	errOverdue      = errors.ConstError("response is overdue")
 )
 
@@ -134,7 +135,7 @@
 		if o.final(x.route.Idempotent) {
 			x.recordComplete(o)
 			x.releaseFallback()
-			return result{resp: o.resp}
+			return x.result(o.resp)
 		}
 		if err := x.recordAttempt(o); err != nil {
 			return x.fail(err)
@@ -142,6 +143,29 @@
 	}
 }
 
+// result returns the final response of an upstream. One whose status promises callers that
+// the request did not run is not returned for a non-idempotent request: the upstream has
+// not stated this.
+func (x *exchange) result(resp *fasthttp.Response) result {
+	if x.route.Idempotent || !promisesNotRun(resp.StatusCode()) {
+		return result{resp: resp}
+	}
+	x.forwarder.options.Log.Warn("upstream rejected a request that it may have run", "request", string(x.id), "service", x.service.name, "status", resp.StatusCode())
+	fasthttp.ReleaseResponse(resp)
+	x.mayHaveRun = true
+	return x.fail(errUnproven)
+}
+
+// promisesNotRun reports whether callers take a status for the promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // recordAttempt records an attempt without a final response. It returns an
 // error if there must not be another attempt.
 func (x *exchange) recordAttempt(o outcome) error {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -80,7 +80,10 @@
 		o := x.relayTo(c)
 		if o.resp != nil && !o.notRun {
 			x.releaseFallback()
-			return result{resp: o.resp}
+			if x.isOwn(o.resp) {
+				return result{resp: o.resp}
+			}
+			return x.result(o.resp)
 		}
 		if !x.recordRelay(o) {
 			break
@@ -274,12 +277,18 @@
 		c.SetMaxIdle(keepAliveTimeout(o.resp.Header.Peek("Keep-Alive")))
 		f.entries.Put(c)
 	}
-	if o.resp != nil {
-		o.notRun = o.resp.StatusCode() == fasthttp.StatusServiceUnavailable && !f.options.Dialect.ParseResponse(&o.resp.Header, time.Now()).Stamped
-	}
+	o.notRun = o.resp != nil && o.resp.StatusCode() == fasthttp.StatusServiceUnavailable && x.isOwn(o.resp)
 	return o
 }
 
+// isOwn reports whether a response to a relayed request is the other entry's own. Entries pass
+// on only responses of upstreams that have the ID of the request; no status of those states
+// that the request did not run.
+func (x *exchange) isOwn(resp *fasthttp.Response) bool {
+	info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
+	return len(info.ID) == 0 && !info.Stamped
+}
+
 // writeRelayed sends the request to another entry.
 func (x *exchange) writeRelayed(c *pooler.Conn) error {
 	req := fasthttp.AcquireRequest()
@@ -297,7 +306,7 @@
 	err := c.Receive(resp, x.call.Request.Header.IsHead(), x.forwarder.options.MaxResponseBody)
 	if err == nil {
 		info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
-		own := len(info.ID) == 0 && !info.Stamped && resp.StatusCode() >= fasthttp.StatusBadRequest
+		own := x.isOwn(resp) && resp.StatusCode() >= fasthttp.StatusBadRequest
 		if own || bytes.Equal(info.ID, x.id) && x.valid(resp, info) {
 			return resp, nil
 		}
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -76,6 +76,28 @@
 	}
 }
 
+// TestRelayedRequestRunsTwiceAfterError has an upstream of the other entry run a request and
+// fail it with the status of a rejection. That is no statement of the other entry that the
+// request did not run: it must not be relayed once more.
+func TestRelayedRequestRunsTwiceAfterError(t *testing.T) {
+	for _, f := range []fault{failedBusy, failedLimit} {
+		t.Run(string(f), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newRelayPair(t)
+				p.cut.options.Relays = func(string) []string { return []string{"far", "far", "far"} }
+				p.tb.plan = []fault{f}
+				resp := send(p.cut, "/order/1", "r")
+				if p.tb.runs["r"] != 1 || resp.StatusCode() != fasthttp.StatusBadGateway {
+					t.Errorf("got: %d runs, status %d want: 1 run, 502", p.tb.runs["r"], resp.StatusCode())
+				}
+				time.Sleep(5 * time.Second)
+				p.tb.close()
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
+
 // TestRelayedRequestIsNotRelayedAgain checks that entries that are all cut off reject a
 // request at once, and that requests with a malformed header of a relay are served.
 func TestRelayedRequestIsNotRelayedAgain(t *testing.T) {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -34,12 +34,13 @@
 
 // final reports whether the response is returned to the caller without another
 // attempt. A response that proves that the request did not run is not final,
-// nor is a server error in response to an idempotent request.
+// nor is a server error or a rejection in response to an idempotent request.
 func (o outcome) final(idempotent bool) bool {
 	if o.resp == nil || o.notRun {
 		return false
 	}
-	return !idempotent || o.resp.StatusCode() < fasthttp.StatusInternalServerError
+	s := o.resp.StatusCode()
+	return !idempotent || s < fasthttp.StatusInternalServerError && !promisesNotRun(s)
 }
 
 // result converts the outcome to a placer.Result.
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -70,16 +70,20 @@
 	runSlowly    fault = "responds after the deadline"
 	failed       fault = "fails after running"
 	failedLate   fault = "fails just before the deadline"
-	shed         fault = "sheds"
-	misdirected  fault = "address of another upstream"
-	truncated    fault = "response truncated"
-	noLength     fault = "response without a length"
-	garbage      fault = "response is not HTTP"
-	unstamped    fault = "response without a stamp"
-	encoded      fault = "response with a content encoding"
-	excess       fault = "bytes after the response"
-	staleFirst   fault = "response to an earlier request first"
-	closeAfter   fault = "closes after the response"
+	// failedBusy and failedLimit have run the request, although their status is that of a
+	// rejection.
+	failedBusy  fault = "fails after running with 503"
+	failedLimit fault = "fails after running with 429"
+	shed        fault = "sheds"
+	misdirected fault = "address of another upstream"
+	truncated   fault = "response truncated"
+	noLength    fault = "response without a length"
+	garbage     fault = "response is not HTTP"
+	unstamped   fault = "response without a stamp"
+	encoded     fault = "response with a content encoding"
+	excess      fault = "bytes after the response"
+	staleFirst  fault = "response to an earlier request first"
+	closeAfter  fault = "closes after the response"
 	// shedTwice rejects without an ID, and writes the rejection again when the next
 	// request arrives on the connection, before it runs that.
 	shedTwice fault = "writes an earlier rejection again"
@@ -94,7 +98,7 @@
 )
 
 var faults = []fault{
-	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, shed, misdirected,
+	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, failedBusy, failedLimit, shed, misdirected,
 	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
 	shedPause, shedPauseUnnamed, shedPauseCut, shedPauseStale, leaves,
 }
@@ -272,6 +276,10 @@
 			time.Sleep(1499 * time.Millisecond)
 		}
 		return write("HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", id)
+	case failedBusy:
+		return write("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+	case failedLimit:
+		return write("HTTP/1.1 429 Too Many Requests\r\nId: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", id)
 	case truncated:
 		write("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 9\r\n\r\nwho", id)
 		return false
