runner: an entry outlives a want of descriptors

Cause: fasthttp's Serve returns at the first accept that fails, and the group of tasks ended with it; the error was lost when the tasks outlasted taskWaitTimeout. Callers' connections were bounded by 8,192, twice the descriptors of a process, so a question at the ready address was enough. Ruled out: the callers' own listener, which went on after the same error.

Change: all listeners go through internal/acceptor, which goes on after an error, logs one a second and has an idle connection of a caller closed. Beyond the bound the connection that has been idle longest is closed for the new one, and the new one is turned away only if none is idle. A failed task is logged, and its error is what the process ends with. Also: an update of the tracker that can't be encoded no longer ends the entry. Open and closed connections are in /status and the metrics.

TestConnLimit expected the second connection to be turned away while the first was idle; that is no longer wanted. It now keeps the first one busy, which asks for the same bound, and TestIdleConnectionMakesRoom covers the idle one.

--- a/parser/process.go
+++ b/parser/process.go
@@ -41,7 +41,7 @@
 func ParseProcess(file string, text []byte) (*Process, error) {
 	d := &document{file: file, text: text}
 	p := Process{spec: processSpec{
-		Region: "home", MaxCalls: 4096, MaxConns: 8192, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10,
+		Region: "home", MaxCalls: 4096, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10,
 		HeartbeatInterval: 500 * time.Millisecond, HeartbeatTimeout: 3 * time.Second, TTL: 2 * time.Second,
 		DrainTimeout: 30 * time.Second, ResyncInterval: 5 * time.Second, PeerBytesPerSecond: 28 << 10,
 		Gateway: gatewaySpec{
@@ -88,7 +88,7 @@
 	}
 	err := firstError(
 		checkRange(d, "calls", s.MaxCalls, 1, 1<<20),
-		checkRange(d, "conns", s.MaxConns, 1, 1<<20),
+		checkRange(d, "conns", s.MaxConns, 0, 1<<20),
 		checkRange(d, "body", s.MaxBodyBytes, 0, 64<<20),
 		checkRange(d, "header", s.MaxHeaderBytes, 1024, 1<<20),
 		checkRange(d, "beat", s.HeartbeatInterval, 20*time.Millisecond, 10*time.Second),
@@ -142,7 +142,8 @@
 // MaxCalls returns the maximum number of concurrent calls at the entry.
 func (p *Process) MaxCalls() int { return p.spec.MaxCalls }
 
-// MaxConns returns the maximum number of concurrent connections from callers.
+// MaxConns returns the maximum number of concurrent connections from callers, 0 if it
+// follows from the descriptors that the process may have.
 func (p *Process) MaxConns() int { return p.spec.MaxConns }
 
 // MaxBodyBytes returns the maximum size of request and response bodies, in bytes.
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -58,6 +58,8 @@
 	bytes int
 	// awaiting is set while the reader waits for the first byte of a request.
 	awaiting bool
+	// idleSince is when the connection was last without a request.
+	idleSince time.Time
 	// writing is set while a goroutine writes responses.
 	writing bool
 	// closing is set when no further request is accepted, and broken when
@@ -216,7 +218,8 @@
 func (c *conn) setIdleDeadline() {
 	deadline := time.Time{}
 	if len(c.pending) == 0 {
-		deadline = time.Now().Add(c.server.idleTimeout())
+		c.idleSince = time.Now()
+		deadline = c.idleSince.Add(c.server.idleTimeout())
 	}
 	_ = c.net.SetReadDeadline(deadline)
 }
@@ -310,13 +313,22 @@
 	c.pending = c.pending[:c.started]
 }
 
-// closeIdle closes the connection if it has no request.
-func (c *conn) closeIdle() {
+// closeIdle closes the connection if it has no request, and reports whether it had none.
+func (c *conn) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.awaiting && len(c.pending) == 0 {
-		c.breakOff()
+	if !c.awaiting || len(c.pending) > 0 {
+		return false
 	}
+	c.breakOff()
+	return true
+}
+
+// idle reports whether the connection has no request, and since when.
+func (c *conn) idle() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.awaiting && !c.closing && len(c.pending) == 0
 }
 
 // linger ends the sending direction and discards what the caller has sent behind
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -43,6 +43,8 @@
 	draining atomic.Bool
 	// pending counts requests that were read and whose responses are not written.
 	pending atomic.Int64
+	// closedIdle and turnedAway count connections, as in Connections.
+	closedIdle, turnedAway atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -71,11 +73,8 @@
 // read from it, so that callers open their next connection to another entry.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// acceptBackoff is the pause after a failed accept, for instance for want of
-// descriptors.
-const acceptBackoff = 10 * time.Millisecond
-
-// Serve serves the connections of a listener until it is closed.
+// Serve serves the connections of a listener until it fails. It returns nil if the listener
+// was closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		c, err := l.Accept()
@@ -83,9 +82,7 @@
 			return nil
 		}
 		if err != nil {
-			s.options.Log.Warn("accepting a connection failed", "error", err.Error())
-			time.Sleep(acceptBackoff)
-			continue
+			return errors.Annotatef(err, "accepting at %s", l.Addr())
 		}
 		go s.ServeConn(c)
 	}
@@ -103,17 +100,65 @@
 	c.serve()
 }
 
-// add registers a connection. It returns false if there are too many.
+// add registers a connection. If there are too many, it closes the one that has been idle for
+// the longest time; it returns false if none is idle.
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.options.MaxConns {
+	if len(s.conns) >= s.options.MaxConns && !s.closeLongestIdle() {
+		s.turnedAway.Add(1)
 		return false
 	}
 	s.conns[c] = struct{}{}
 	return true
 }
 
+// CloseLongestIdle closes the connection that has been idle for the longest time, if any is.
+func (s *Server) CloseLongestIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeLongestIdle()
+}
+
+// minIdle is how long a connection must have been idle to be closed for another one: callers
+// send a request soon after they have opened a connection.
+const minIdle = 250 * time.Millisecond
+
+// closeLongestIdle implements CloseLongestIdle and reports whether there was one. The lock must
+// be held.
+func (s *Server) closeLongestIdle() bool {
+	var longest *conn
+	oldest := time.Now().Add(-minIdle)
+	for c := range s.conns {
+		if since, idle := c.idle(); idle && since.Before(oldest) {
+			longest, oldest = c, since
+		}
+	}
+	if longest == nil || !longest.closeIdle() {
+		return false
+	}
+	delete(s.conns, longest)
+	s.closedIdle.Add(1)
+	return true
+}
+
+// Connections is the number of connections of a server.
+type Connections struct {
+	Open  int `json:"open"`
+	Limit int `json:"limit"`
+	// ClosedIdle counts connections that were closed for others while they were idle, and
+	// TurnedAway those for which there was no room.
+	ClosedIdle int64 `json:"closed_idle"`
+	TurnedAway int64 `json:"turned_away"`
+}
+
+// Connections returns the number of connections.
+func (s *Server) Connections() Connections {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Connections{Open: len(s.conns), Limit: s.options.MaxConns, ClosedIdle: s.closedIdle.Load(), TurnedAway: s.turnedAway.Load()}
+}
+
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pipeliner/server_test.go
+++ b/pipeliner/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"strconv"
 	"strings"
@@ -11,18 +12,24 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	_ "poplarwind/internal/seeder"
 )
 
-// TestConnLimit opens one connection more than allowed.
+// TestConnLimit opens one connection more than allowed while the others have requests.
 func TestConnLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{Handler: newTestHandler(), MaxHeader: testMaxHeader, MaxConns: 1, IdleTimeout: func() time.Duration { return testIdle }})
 		for i, want := range []int{0, 503} {
 			caller, entry := net.Pipe()
 			go s.ServeConn(entry)
+			if want == 0 {
+				if _, err := io.WriteString(caller, "GET /safe/30000/first HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+			}
 			synctest.Wait()
 			_ = caller.SetReadDeadline(time.Now().Add(time.Second))
 			var resp fasthttp.Response
@@ -125,3 +132,54 @@
 		_ = l.Close()
 	}
 }
+
+// TestIdleConnectionMakesRoom opens more connections than a server may have. One that is idle
+// must be closed for each further one, the longest idle first, and none that has a request;
+// without an idle one the caller is turned away.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHandler()
+		s := New(Options{
+			Handler: h, MaxHeader: testMaxHeader, MaxBody: testMaxBody, MaxConns: 3,
+			IdleTimeout: func() time.Duration { return testIdle }, Log: slog.New(slog.DiscardHandler),
+		})
+		open := func() net.Conn {
+			caller, entry := net.Pipe()
+			go s.ServeConn(entry)
+			synctest.Wait()
+			time.Sleep(2 * minIdle)
+			return caller
+		}
+		closed := func(c net.Conn) bool {
+			_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err := c.Read(make([]byte, 1))
+			return errors.Is(err, io.EOF)
+		}
+		oldest, busy, newest := open(), open(), open()
+		if _, err := io.WriteString(busy, "GET /safe/60000/busy HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		next := open()
+		if !closed(oldest) || closed(busy) || closed(newest) || closed(next) {
+			t.Error("got: another connection closed want: the longest idle one")
+		}
+		for _, c := range []net.Conn{newest, next} {
+			go func() { _, _ = io.WriteString(c, "GET /safe/60000/more HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		}
+		synctest.Wait()
+		last, entry := net.Pipe()
+		go s.ServeConn(entry)
+		var resp fasthttp.Response
+		if err := resp.Read(bufio.NewReader(last)); err != nil || resp.StatusCode() != fasthttp.StatusServiceUnavailable {
+			t.Errorf("got: %d, %v want: turned away with 503", resp.StatusCode(), err)
+		}
+		if c := s.Connections(); c.Open != 3 || c.ClosedIdle != 1 || c.TurnedAway != 1 {
+			t.Errorf("got: %+v want: 3 open, 1 closed, 1 turned away", c)
+		}
+		for _, c := range []net.Conn{oldest, busy, newest, next, last} {
+			_ = c.Close()
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -21,6 +21,7 @@
 	"poplarwind/announcer"
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
+	"poplarwind/pipeliner"
 	"poplarwind/quarantiner"
 	"poplarwind/reacher"
 	"poplarwind/tracker"
@@ -46,6 +47,8 @@
 	StoreCalls func() int64
 	// Memory returns the use of the memory for messages.
 	Memory func() bufferer.Usage
+	// Connections returns the number of callers' connections.
+	Connections func() pipeliner.Connections
 	// UnreadHeaders returns the number of headers of responses that nothing reads, by
 	// name.
 	UnreadHeaders func() map[string]int64
@@ -111,6 +114,8 @@
 		})},
 		{"poplarwind.memory.evicted", "Messages that gave way to others in memory, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Evicted })},
 		{"poplarwind.memory.rejected", "Messages for which there was no memory left, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Rejected })},
+		{"poplarwind.connections.closed_idle", "Callers' connections that were closed for others while they were idle.", g.counter(func() int64 { return g.sources.Connections().ClosedIdle })},
+		{"poplarwind.connections.turned_away", "Callers' connections for which there was no room.", g.counter(func() int64 { return g.sources.Connections().TurnedAway })},
 		{"poplarwind.headers.unread", "Headers of responses that nothing reads, by name.", func(o metric.Observer, i metric.Int64Observable) {
 			for name, n := range g.sources.UnreadHeaders() {
 				o.ObserveInt64(i, n, metric.WithAttributes(attribute.String("name", name)))
@@ -141,6 +146,11 @@
 	}
 }
 
+// counter returns a callback that observes one count without attributes.
+func (g *Gateway) counter(read func() int64) func(metric.Observer, metric.Int64Observable) {
+	return func(o metric.Observer, i metric.Int64Observable) { o.ObserveInt64(i, read()) }
+}
+
 // perKind returns a callback that observes one value of each kind of message.
 func (g *Gateway) perKind(values func(bufferer.Usage) map[string]int64) func(metric.Observer, metric.Int64Observable) {
 	return func(o metric.Observer, i metric.Int64Observable) {
@@ -165,6 +175,8 @@
 		}},
 		{"poplarwind.memory.peak", "Highest memory of messages since the start in bytes.", g.scalar(func() float64 { return float64(g.sources.Memory().Peak) })},
 		{"poplarwind.memory.limit", "Memory that messages may use in bytes.", g.scalar(func() float64 { return float64(g.sources.Memory().Limit) })},
+		{"poplarwind.connections.open", "Callers' connections.", g.scalar(func() float64 { return float64(g.sources.Connections().Open) })},
+		{"poplarwind.connections.limit", "Most connections of callers at the same time.", g.scalar(func() float64 { return float64(g.sources.Connections().Limit) })},
 		{"poplarwind.log.dropped", "Log lines dropped for a slow reader.", g.scalar(func() float64 { return float64(g.sources.DroppedLogLines()) })},
 		{"poplarwind.entries.live", "Live entries as this one sees them.", g.scalar(func() float64 { return float64(len(g.sources.Table.Live(time.Now()))) })},
 		{"poplarwind.requests.running", "Requests in flight.", g.scalar(func() float64 { return float64(g.sources.Forwarder.InFlight()) })},
@@ -294,6 +306,8 @@
 	Peers      announcer.Traffic    `json:"peers"`
 	InFlight   int                  `json:"running"`
 	Memory     bufferer.Usage       `json:"memory"`
+	// Connections counts callers' connections.
+	Connections pipeliner.Connections `json:"connections"`
 }
 
 // Status returns the current state of the entry.
@@ -303,7 +317,7 @@
 	out := GatewayStatus{
 		Entry: s.Name, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
-		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(),
+		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(), Connections: s.Connections(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
 		out.Version = t.Version()
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -16,6 +16,7 @@
 	"poplarwind/announcer"
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
+	"poplarwind/internal/acceptor"
 	"poplarwind/internal/sleeper"
 	"poplarwind/parser"
 	"poplarwind/pipeliner"
@@ -92,6 +93,14 @@
 func NewGateway(p *parser.Process, log *slog.Logger, dropped func() int64) (*Gateway, error) {
 	start := time.Now()
 	o := p.Gateway()
+	descriptors, err := descriptorLimit()
+	if err != nil {
+		return nil, err
+	}
+	limits, err := newConnLimits(descriptors, p.MaxConns())
+	if err != nil {
+		return nil, err
+	}
 	budget := bufferer.New(budgetBytes(o.MemoryLimitMiB()))
 	unread := platform.NewUnreadHeaders(log)
 	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log, unread, budget), budget: budget}
@@ -132,18 +141,17 @@
 		Upstreams: g.forwarder.Upstreams, Dial: g.forwarder.TryUpstream, Log: log,
 	})
 	g.callers = pipeliner.New(pipeliner.Options{
-		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), Budget: budget, MaxConns: p.MaxConns(),
+		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), Budget: budget, MaxConns: limits.callers,
 		IdleTimeout: g.callerIdleTimeout, Log: log,
 	})
-	var err error
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
 	}
-	return g, g.open()
+	return g, g.open(limits)
 }
 
 // storeEra returns the era of the store as of the last read.
@@ -164,12 +172,12 @@
 const probeBudgetFraction = 0.9
 
 // open opens the listeners of the gateway.
-func (g *Gateway) open() error {
+func (g *Gateway) open(limits connLimits) error {
 	p := g.process
 	o := p.Gateway()
-	small := listener{body: opsMaxBody, header: internalMaxHeader, conns: internalMaxConns}
+	small := listener{body: opsMaxBody, header: internalMaxHeader, conns: limits.others}
 	g.listeners = []gatewayListener{
-		{address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns, stream: true}},
+		{address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: limits.others, stream: true}},
 		{address: p.Ops(), handle: g.reporter.Handle, idleTimeout: idleTimeout, listener: small},
 		{address: o.ResolveAddr(), handle: platform.ResolveHandler(g.resolve), idleTimeout: idleTimeout, listener: small},
 		{address: o.ReadyAddr(), handle: platform.ReadyHandler(g.ready), idleTimeout: idleTimeout, listener: small},
@@ -218,11 +226,17 @@
 	}
 }
 
+// accept returns a listener that outlives a want of descriptors: idle connections of callers
+// are then closed.
+func (g *Gateway) accept(l net.Listener) net.Listener {
+	return &acceptor.Listener{Listener: l, Log: g.log, Release: g.callers.CloseLongestIdle}
+}
+
 // serve runs a server on a listener. An error is ignored during a planned stop,
 // which closes the listener.
 func (g *Gateway) serve(s *fasthttp.Server, l net.Listener) error {
-	if err := s.Serve(l); err != nil && !g.draining.Load() {
-		return errors.Trace(err)
+	if err := s.Serve(g.accept(l)); err != nil && !g.draining.Load() {
+		return errors.Annotatef(err, "serving at %s", l.Addr())
 	}
 	return nil
 }
@@ -248,12 +262,23 @@
 	return int(budgetFraction * float64(limit<<20))
 }
 
-// Run serves until ctx ends, then shuts down gracefully and returns.
+// Run serves until ctx ends, then shuts down gracefully and returns. It returns an error as
+// soon as a task fails.
 func (g *Gateway) Run(ctx context.Context) error {
+	return g.run(
+		ctx,
+		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
+		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.quarantiner.Run, g.monitor.Run,
+	)
+}
+
+// run implements Run for the given tasks.
+func (g *Gateway) run(ctx context.Context, tasks ...func(context.Context) error) error {
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, taskCtx := errgroup.WithContext(taskCtx)
-	group.Go(func() error { return g.callers.Serve(g.callersListener) })
+	group.Go(func() error { return g.callers.Serve(g.accept(g.callersListener)) })
 	servers := []shutdowner{g.callers}
 	for _, l := range g.listeners {
 		s := l.server(l.handle)
@@ -261,11 +286,6 @@
 		servers = append(servers, httpServer{s})
 		group.Go(func() error { return g.serve(s, l.Listener) })
 	}
-	tasks := []func(context.Context) error{
-		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
-		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.quarantiner.Run, g.monitor.Run,
-	}
 	for _, f := range tasks {
 		group.Go(func() error { return f(taskCtx) })
 	}
@@ -278,10 +298,17 @@
 		g.drain(taskCtx)
 	case <-taskCtx.Done():
 	}
+	failed := context.Cause(taskCtx)
+	if failed != nil {
+		g.log.Error("entry stops because a task failed", "error", failed.Error())
+	}
 	g.shutdownServers(servers)
 	stop()
 	err := g.waitTasks(group)
 	g.log.Info("entry stopped")
+	if failed != nil {
+		return errors.Trace(failed)
+	}
 	return errors.Trace(err)
 }
 
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/acceptor"
 	"poplarwind/relayer"
 	"poplarwind/resolver"
 )
@@ -43,13 +44,21 @@
 // open opens the listeners for callers, peers and operators.
 func (r *Runner) open() error {
 	p := r.process
+	descriptors, err := descriptorLimit()
+	if err != nil {
+		return err
+	}
+	limits, err := newConnLimits(descriptors, p.MaxConns())
+	if err != nil {
+		return err
+	}
 	for _, d := range []struct {
 		addr     string
 		listener listener
 	}{
-		{p.Callers(), listener{body: p.MaxBodyBytes(), header: p.MaxHeaderBytes(), conns: p.MaxConns()}},
-		{p.Peers(), listener{body: peersMaxBody, header: internalMaxHeader, conns: internalMaxConns, stream: true}},
-		{p.Ops(), listener{body: opsMaxBody, header: internalMaxHeader, conns: internalMaxConns}},
+		{p.Callers(), listener{body: p.MaxBodyBytes(), header: p.MaxHeaderBytes(), conns: limits.callers}},
+		{p.Peers(), listener{body: peersMaxBody, header: internalMaxHeader, conns: limits.others, stream: true}},
+		{p.Ops(), listener{body: opsMaxBody, header: internalMaxHeader, conns: limits.others}},
 	} {
 		l, err := net.Listen("tcp", d.addr)
 		if err != nil {
@@ -68,7 +77,7 @@
 	for i, l := range r.listeners {
 		s := l.server(handlers[i])
 		servers = append(servers, s)
-		g.Go(func() error { return s.Serve(l.Listener) })
+		g.Go(func() error { return s.Serve(&acceptor.Listener{Listener: l.Listener, Log: r.log}) })
 	}
 	return servers
 }
--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -50,7 +50,8 @@
 		}
 		body, err := announcer.Pack(u)
 		if err != nil {
-			return errors.Trace(err)
+			t.log.Error("update can't be encoded", "error", err.Error())
+			continue
 		}
 		for _, m := range recipients {
 			go t.send(ctx, m, body)
