tracker: the hold of expired upstreams includes the time until they were missed

Cause: two parts of one bound were each chosen as if they had it alone. Records that vanish together stay in use for 0.75 of drain_ms, 1.5 s, counted from when the entry saw it; an entry whose reader died sees it up to 1.8 s later (queryAge, one check, one response).

Change: the hold begins when the records were last certain to be in the store, which the replica knows. A removal that is noticed late uses up its hold, so that both parts end within drain_ms, whichever entry is killed. After an outage of at least drain_ms the hold begins with the list, as before: records that expired meanwhile return within 2 s. The fraction and the bound stand in one place, ExpiryFilter, and an entry warns at its start if the drain time is below the detection time (tracker.DetectionTime).

Ruled out: a change of staleAge, which costs a call to the store each (all entries rely on watchWait being shorter), and no hold at all, which drops most upstreams of a service when the store rejects their heartbeats.

--- a/runner/apply.go
+++ b/runner/apply.go
@@ -61,7 +61,7 @@
 			listed[c.Name] = tracker.ListedUpstream{Spec: *c.Upstream, Revision: c.Revision}
 		}
 	}
-	active, recheckAt := g.expiry.Apply(now, position.Era, listed)
+	active, recheckAt := g.expiry.Apply(now, now.Add(-position.AgeBefore), position.Era, listed)
 	for id := range g.active {
 		if _, ok := active[id]; !ok {
 			g.forwarder.RemoveUpstream(id)
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -78,9 +78,6 @@
 	// gatewayIdleTimeout is the idle timeout of a connection where the
 	// configuration sets none.
 	gatewayIdleTimeout = time.Minute
-	// expiryHoldFraction is the fraction of the upstreams' drain time for which
-	// upstreams with expired records stay in use.
-	expiryHoldFraction = 0.75
 )
 
 // remoteTimeoutFactor is the heartbeat timeout of entries in other failure
@@ -104,7 +101,10 @@
 	budget := bufferer.New(budgetBytes(o.MemoryLimitMiB()))
 	unread := platform.NewUnreadHeaders(log)
 	g := &Gateway{process: p, start: start, log: log, state: &tracker.State{}, reach: reacher.New(), store: platform.NewStore(p.Platform(), log, unread, budget), budget: budget}
-	g.expiry.Hold = time.Duration(expiryHoldFraction * float64(o.UpstreamDrainTimeout()))
+	g.expiry.Drain = o.UpstreamDrainTimeout()
+	if d := tracker.DetectionTime(); d >= g.expiry.Drain {
+		log.Warn("upstreams that leave may get requests for longer than allowed", "drain_ms", g.expiry.Drain.Milliseconds(), "detection_ms", d.Milliseconds())
+	}
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
 		Capacity: capacity(o.Cores(), o.LinkMbps()),
--- a/tracker/expiry.go
+++ b/tracker/expiry.go
@@ -21,10 +21,11 @@
 // written anew, or stays for as long as the store keeps the records of upstreams that
 // send no heartbeats.
 type ExpiryFilter struct {
-	// Hold is how long upstreams with expired records stay in use. It must be
-	// shorter than the time within which requests to an upstream that was shut
-	// down must have ceased.
-	Hold time.Duration
+	// Drain is the time within which requests to an upstream that was shut down must
+	// have ceased. Upstreams with expired records stay in use for a part of it, counted
+	// from when their records were last certain to be in the store: the time until their
+	// removal was noticed is a part of it too.
+	Drain time.Duration
 
 	// era is the era of the store as of the last list.
 	era uint64
@@ -77,13 +78,28 @@
 // simultaneous removal of several upstreams is taken for an expiry.
 const massExpiryFraction = 0.4
 
-// Apply applies the list of upstreams in the store, as of an era of it. It returns the
-// upstreams to use, by ID, and the time at which the next hold time ends, or the zero
-// time if no upstream is held or withheld.
-func (f *ExpiryFilter) Apply(now time.Time, era uint64, listed map[string]ListedUpstream) (use map[string]placer.Spec, next time.Time) {
+// holdFraction is the fraction of Drain for which upstreams with expired records stay in use.
+const holdFraction = 0.75
+
+// hold returns until when upstreams stay in use whose records expired after a time at which
+// they were certain to be in the store. If that is as long ago as Drain, the store was out of
+// reach, and the time begins now: records that expired meanwhile return soon.
+func (f *ExpiryFilter) hold(now, confirmed time.Time) time.Time {
+	if now.Sub(confirmed) >= f.Drain {
+		confirmed = now
+	}
+	return confirmed.Add(time.Duration(holdFraction * float64(f.Drain)))
+}
+
+// Apply applies the list of upstreams in the store, as of an era of it. The list before it was
+// last certain to be the store's newest at the time confirmed. Apply returns the upstreams to
+// use, by ID, and the time at which the next hold time ends, or the zero time if no upstream
+// is held or withheld.
+func (f *ExpiryFilter) Apply(now, confirmed time.Time, era uint64, listed map[string]ListedUpstream) (use map[string]placer.Spec, next time.Time) {
 	restored := f.era > 0 && era > f.era
 	f.era = era
 	if restored {
+		confirmed = now
 		f.withhold(now, listed)
 	}
 	total, missing := f.countMissing(listed)
@@ -110,7 +126,7 @@
 		s := u.spec.Service
 		expired := missing[s] > 1 && float64(missing[s]) > massExpiryFraction*float64(total[s])
 		if u.until.IsZero() && !u.spec.Draining && (restored || expired) {
-			u.until = now.Add(f.Hold)
+			u.until = f.hold(now, confirmed)
 		}
 		if !now.Before(u.until) {
 			f.depart(now, u.spec)
--- a/tracker/restore_test.go
+++ b/tracker/restore_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"poplarwind/announcer"
+	"poplarwind/placer"
 	"poplarwind/router"
 )
 
@@ -193,3 +194,23 @@
 		}
 	})
 }
+
+// TestAgeOfRemovedObjects checks the age of the objects before their last change: a removal
+// that is noticed late may have happened as soon as they were last certain to exist.
+func TestAgeOfRemovedObjects(t *testing.T) {
+	var s State
+	start := time.Unix(1000, 0)
+	upstream := Change{Name: "u", Revision: 1, Upstream: &placer.Spec{ID: "u"}}
+	if _, err := s.Apply(start, Delta{Kind: Upstreams, Era: 1, AsOf: 1, Snapshot: true, Changes: []Change{upstream}}); err != nil {
+		t.Fatal(err)
+	}
+	s.ConfirmFresh(start.Add(time.Second), Upstreams, 1, 1)
+	if _, err := s.Apply(start.Add(2500*time.Millisecond), Delta{Kind: Upstreams, Era: 1, After: 1, AsOf: 2, Changes: []Change{{Name: "u", Removed: true}}}); err != nil {
+		t.Fatal(err)
+	}
+	s.ConfirmFresh(start.Add(3*time.Second), Upstreams, 1, 2)
+	p := s.Position(start.Add(3*time.Second), Upstreams)
+	if p.Age != 0 || p.AgeBefore != 2*time.Second {
+		t.Errorf("got: age %v, before %v want: 0, 2 s", p.Age, p.AgeBefore)
+	}
+}
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -72,8 +72,9 @@
 	// first delta.
 	asOf uint64
 	// fresh is the last time at which the items are certain to have been the
-	// store's newest.
-	fresh time.Time
+	// store's newest, and freshBefore the last time at which those before the last
+	// change were.
+	fresh, freshBefore time.Time
 	// log holds the last deltas. Each starts at the revision at which the one
 	// before it ends.
 	log []Delta
@@ -244,6 +245,7 @@
 		}
 	}
 	if len(changes) > 0 {
+		r.freshBefore = r.fresh
 		r.log = append(r.log, Delta{Kind: d.Kind, Era: r.era, After: r.asOf, AsOf: d.AsOf, Changes: changes})
 		r.log = r.log[max(0, len(r.log)-maxLog):]
 	} else if n := len(r.log); n > 0 {
@@ -306,6 +308,10 @@
 	// Age is the time since the revision was last certain to be the store's
 	// newest, at most maxAge.
 	Age time.Duration `json:"age"`
+	// AgeBefore is the age of the objects before their last change: the time since
+	// they were last certain to be the store's newest, at most maxAge. It is not sent to
+	// other entries.
+	AgeBefore time.Duration `json:"-"`
 }
 
 // maxAge bounds ages, including that of a replica that was never certain to be the
@@ -322,9 +328,12 @@
 func (p Position) valid() bool { return p.Age >= 0 && p.Age <= maxAge }
 
 func (r *replica) position(now time.Time) Position {
-	return Position{Era: r.era, AsOf: r.asOf, Age: min(max(now.Sub(r.fresh), 0), maxAge)}
+	return Position{Era: r.era, AsOf: r.asOf, Age: ageAt(now, r.fresh), AgeBefore: ageAt(now, r.freshBefore)}
 }
 
+// ageAt returns the time since t, from 0 to maxAge.
+func ageAt(now, t time.Time) time.Duration { return min(max(now.Sub(t), 0), maxAge) }
+
 // Position returns the revision and the age of the replica of a kind. AsOf is 0 if
 // no delta has been applied yet.
 func (s *State) Position(now time.Time, k Kind) Position {
--- a/tracker/state_test.go
+++ b/tracker/state_test.go
@@ -100,8 +100,8 @@
 // disappear from the store's list.
 func TestExpiry(t *testing.T) {
 	scripter.Run(t, "testdata/expiry*.txt", func(*testing.T) func([]string) string {
-		f := ExpiryFilter{Hold: 1500 * time.Millisecond}
-		now, era := time.Unix(1000, 0), uint64(1)
+		f := ExpiryFilter{Drain: 2 * time.Second}
+		now, era, age := time.Unix(1000, 0), uint64(1), time.Duration(0)
 		return func(args []string) string {
 			switch args[0] {
 			case "restore":
@@ -114,6 +114,12 @@
 				}
 				now = now.Add(d)
 				return ""
+			case "age": // age of the list before the next one
+				var err error
+				if age, err = time.ParseDuration(args[1]); err != nil {
+					return err.Error()
+				}
+				return ""
 			case "list": // list id[@revision][+process][!]..., with ! after those that are draining
 				listed := make(map[string]ListedUpstream)
 				for _, a := range args[1:] {
@@ -125,7 +131,7 @@
 						Revision: uint64(len(revision)),
 					}
 				}
-				use, next := f.Apply(now, era, listed)
+				use, next := f.Apply(now, now.Add(-age), era, listed)
 				var out []string
 				for _, id := range []string{"a1", "a2", "a3", "a4", "b1", "b2"} {
 					if _, ok := use[id]; ok {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -85,6 +85,10 @@
 	queryTimeout = 200 * time.Millisecond
 )
 
+// DetectionTime returns the time within which an entry notices a change in the store although
+// the entry that watches it has died: it waits for updates, and then reads the store itself.
+func DetectionTime() time.Duration { return queryAge + checkInterval + responseTimeout }
+
 // Tracker keeps a State up to date.
 type Tracker struct {
 	state  *State
