tracker: an entry that lags is sent the newest state, not each version that it missed

Cause: the log of the replica kept each change of an object, and Since returned all of them. With whole configs as changes, 10 missed versions are 1.6 MB and 100 more than a message may have; the reply was rejected and the query repeated from the same revision. The store's watch does the same with its events, and a watch that exceeds its time was repeated without end too, also at the start of an entry.

Change: a change removes the earlier changes of its objects from the log, so that what an entry that lags is sent, and what the log holds, is bounded by the size of the state. After two failed reads of changes all objects are listed, at the start of an entry as well.

Looked at on related paths: updates to recipients use the same log; quarantines are exchanged by fingerprint with bounds of their own; the announcer's settings are pulled by version.

Evidence: TestCatchUpGrowsWithMissedVersions, 1,424 routes, bytes of a reply after 1, 10, 100 and 300 missed versions: before 163,142, 1,630,662 and unreadable beyond; now 163,142, 163,146, 163,150 and 163,163. TestReadRepeatedWithoutProgress before: no replica after 20 s and 14 reads. TestLogKeepsOtherObjects guards the other objects. The package's tests pass.

--- a/tracker/acquire.go
+++ b/tracker/acquire.go
@@ -70,7 +70,7 @@
 	if t.initial {
 		err = t.list(ctx, k, true)
 	} else {
-		err = t.listCurrent(ctx, k)
+		err = t.readOrList(ctx, k, func() error { return t.listCurrent(ctx, k) })
 	}
 	t.setReachable(k, err)
 	t.recordRead(time.Now(), err)
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -76,7 +76,7 @@
 	// change were.
 	fresh, freshBefore time.Time
 	// log holds the last deltas. Each starts at the revision at which the one
-	// before it ends.
+	// before it ends, and holds the objects that did not change again later.
 	log []Delta
 }
 
@@ -246,6 +246,7 @@
 	}
 	if len(changes) > 0 {
 		r.freshBefore = r.fresh
+		r.dropSuperseded(changes)
 		r.log = append(r.log, Delta{Kind: d.Kind, Era: r.era, After: r.asOf, AsOf: d.AsOf, Changes: changes})
 		r.log = r.log[max(0, len(r.log)-maxLog):]
 	} else if n := len(r.log); n > 0 {
@@ -254,6 +255,22 @@
 	r.asOf = d.AsOf
 }
 
+// dropSuperseded removes from the log the earlier changes of objects that change again. An entry
+// that lags needs the newest state of each object only, however many changes it missed.
+func (r *replica) dropSuperseded(changes []Change) {
+	names := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		names[c.Name] = true
+	}
+	superseded := func(c Change) bool { return names[c.Name] }
+	for i, d := range r.log {
+		if slices.ContainsFunc(d.Changes, superseded) {
+			// Others may hold the slice.
+			r.log[i].Changes = slices.DeleteFunc(slices.Clone(d.Changes), superseded)
+		}
+	}
+}
+
 // Since returns the changes after a revision of an era, or a snapshot if the log does not
 // reach back to it.
 func (s *State) Since(k Kind, era, after uint64) Delta {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -115,6 +115,9 @@
 	// contacts returns the entries to query while no other is known to be live. It
 	// may be nil.
 	contacts func() []announcer.Member
+	// repeated counts the consecutive reads of changes of each kind that failed. It is
+	// accessed only by the task that follows the kind.
+	repeated [Kinds]int
 	// replies holds the encoded snapshots that queries are answered with.
 	replies [Kinds]snapshotReply
 
@@ -213,7 +216,7 @@
 	if role.Rank > 0 && role.Rank < readersPerDomain {
 		t.setDeputizing()
 	}
-	err := t.watch(ctx, k, position, wait)
+	err := t.readOrList(ctx, k, func() error { return t.watch(ctx, k, position, wait) })
 	t.setReachable(k, err)
 	t.recordRead(time.Now(), err)
 	if err == nil {
@@ -227,6 +230,27 @@
 	sleeper.Sleep(ctx, readBackoff+rand.N(readBackoff))
 }
 
+// maxRepeated is the number of failed reads of the changes after a position, after which all
+// objects are listed instead. The store sends each version of an object that the replica has
+// missed; what it sends may be too much for the time that a read has, however often it is
+// repeated.
+const maxRepeated = 2
+
+// readOrList reads changes of a kind by read, or all objects if earlier reads failed.
+func (t *Tracker) readOrList(ctx context.Context, k Kind, read func() error) error {
+	var err error
+	if t.repeated[k] < maxRepeated {
+		err = read()
+	} else {
+		err = t.list(ctx, k, false)
+	}
+	t.repeated[k]++
+	if err == nil || t.repeated[k] > maxRepeated {
+		t.repeated[k] = 0
+	}
+	return err
+}
+
 const (
 	// settleTime is how long an entry that has just started waits for the
 	// membership before it may watch the store, since all entries may have
