bufferer: unused blocks are a part of the budget

What could be seen: after many small bodies and then large ones, an entry held blocks of both sizes, up to twice what messages may use, until the next trim (5 s).

Cause: unused blocks were kept by size and counted nowhere.

Change: blocks in use and unused ones together stay within the limit; those that exceed it are dropped. A block is reserved and taken in one step, so that none is dropped and then made again.

Evidence: TestFreeBlocksExceedLimit before: 9,175,040 bytes where 8,388,608 are allowed, in seven of nine checks; now within it. The tests of the package pass under the race detector.

--- a/bufferer/body.go
+++ b/bufferer/body.go
@@ -177,11 +177,11 @@
 func (b *Body) room() ([]byte, error) {
 	i, within := position(b.size)
 	if i == len(b.blocks) {
-		size := blockSize(i)
-		if err := b.budget.reserve(b, size); err != nil {
+		block, err := b.budget.reserveBlock(b, blockSize(i))
+		if err != nil {
 			return nil, err
 		}
-		b.blocks = append(b.blocks, b.budget.block(size))
+		b.blocks = append(b.blocks, block)
 	}
 	return b.blocks[i][within:], nil
 }
--- a/bufferer/budget.go
+++ b/bufferer/budget.go
@@ -83,8 +83,10 @@
 	freed chan struct{}
 	// order numbers the bodies.
 	order uint64
-	// firsts and laters hold blocks that no body uses.
+	// firsts and laters hold blocks that no body uses, of free bytes in all. With those in
+	// use they are within the limit.
 	firsts, laters [][]byte
+	free           int
 }
 
 // New returns a Budget of limit bytes.
@@ -132,7 +134,7 @@
 func (g *Budget) Trim() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.firsts, g.laters = nil, nil
+	g.firsts, g.laters, g.free = nil, nil, 0
 }
 
 // classOf returns the class of a body of n bytes. Messages of other entries and of the store
@@ -248,6 +250,28 @@
 func (g *Budget) reserve(b *Body, n int) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	err := g.awaitRoom(b, n)
+	g.dropFree()
+	return err
+}
+
+// reserveBlock reserves a block of size bytes and returns it.
+func (g *Budget) reserveBlock(b *Body, size int) ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.awaitRoom(b, size); err != nil {
+		return nil, err
+	}
+	block := g.takeFree(size)
+	g.dropFree()
+	if block == nil {
+		block = make([]byte, size)
+	}
+	return block, nil
+}
+
+// awaitRoom implements reserve. The lock must be held; it is released while the body waits.
+func (g *Budget) awaitRoom(b *Body, n int) error {
 	if b.ended == nil && g.shortage(b, n) == (shortage{}) {
 		g.resize(b, n)
 		return nil
@@ -283,20 +307,35 @@
 	}
 }
 
-// block returns a block that no body uses, or a new one. The memory must be reserved.
-func (g *Budget) block(size int) []byte {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	list := &g.firsts
+// freeList returns the list of unused blocks of a size.
+func (g *Budget) freeList(size int) *[][]byte {
 	if size == laterBlock {
-		list = &g.laters
+		return &g.laters
 	}
-	if n := len(*list); n > 0 {
-		out := (*list)[n-1]
-		*list = (*list)[:n-1]
-		return out
+	return &g.firsts
+}
+
+// takeFree returns an unused block of a size, nil if there is none.
+func (g *Budget) takeFree(size int) []byte {
+	list := g.freeList(size)
+	n := len(*list)
+	if n == 0 {
+		return nil
+	}
+	block := (*list)[n-1]
+	(*list)[n-1] = nil
+	*list = (*list)[:n-1]
+	g.free -= size
+	return block
+}
+
+// dropFree drops unused blocks that exceed the limit together with those in use.
+func (g *Budget) dropFree() {
+	for g.limit > 0 && g.free > 0 && g.used+g.free > g.limit {
+		if g.takeFree(laterBlock) == nil {
+			g.takeFree(firstBlock)
+		}
 	}
-	return make([]byte, size)
 }
 
 // release ends a body and takes its blocks back.
@@ -310,12 +349,11 @@
 	b.ended = errReleased
 	delete(g.bodies, b)
 	for _, p := range b.blocks {
-		if len(p) == laterBlock {
-			g.laters = append(g.laters, p)
-		} else {
-			g.firsts = append(g.firsts, p)
-		}
+		list := g.freeList(len(p))
+		*list = append(*list, p)
+		g.free += len(p)
 	}
 	b.blocks, b.size = nil, 0
 	g.resize(b, -b.reserved)
+	g.dropFree()
 }
--- a/bufferer/budget_test.go
+++ b/bufferer/budget_test.go
@@ -164,6 +164,43 @@
 	})
 }
 
+// TestFreeBlocksExceedLimit fills the budget with bodies of one size of blocks, and then of the
+// other. The blocks that no body uses are a part of the memory too.
+func TestFreeBlocksExceedLimit(t *testing.T) {
+	g := New(testLimit)
+	check := func(what string) {
+		t.Helper()
+		free := 0
+		for _, p := range append(append([][]byte(nil), g.firsts...), g.laters...) {
+			free += len(p)
+		}
+		if free+g.used > testLimit {
+			t.Errorf("%s: got: %d bytes free, %d in use want: at most %d together", what, free, g.used, testLimit)
+		}
+	}
+	for round := range 3 {
+		var small []*Body
+		for range testLimit / (2 * firstBlock) {
+			b := g.NewBody(Responses, nil)
+			if err := b.ReadN(bytes.NewReader(make([]byte, firstBlock)), firstBlock); err != nil {
+				t.Fatal(err)
+			}
+			small = append(small, b)
+		}
+		check(fmt.Sprint("small ", round))
+		for _, b := range small {
+			b.Release()
+		}
+		b := g.NewBody(Responses, nil)
+		if err := b.ReadN(bytes.NewReader(make([]byte, testLimit*6/10)), testLimit*6/10); err != nil {
+			t.Fatal(err)
+		}
+		check(fmt.Sprint("large ", round))
+		b.Release()
+		check(fmt.Sprint("released ", round))
+	}
+}
+
 // TestContentOfRecycledBlocks receives, reads and releases bodies of random sizes at the same
 // time. Each must have its own content, however often its blocks were used before.
 func TestContentOfRecycledBlocks(t *testing.T) {
