bufferer: a body that can't be interrupted does not give way

Cause: messages between entries were received without a way to interrupt their transfer. One whose sender had stopped was chosen to give way, did not notice until its time-out of 10 s, and as one body gives way at a time, no other did meanwhile.

Change: only bodies that can be interrupted give way. The listener for other entries can interrupt a message, and there the largest gives way first, so that short messages of sound entries are received. Replies of entries and answers of the store do not give way; their shares of the budget bound them.

--- a/announcer/message.go
+++ b/announcer/message.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, nil, errors.WithType(err, ErrMalformed)
 	}
-	memory, err = g.Read(bufferer.Peers, r, MaxMessage, messageOverhead)
+	memory, err = g.Read(bufferer.Peers, r, MaxMessage, messageOverhead, nil)
 	if err != nil {
 		return nil, nil, errors.WithType(err, ErrMalformed)
 	}
--- a/announcer/transport.go
+++ b/announcer/transport.go
@@ -81,7 +81,7 @@
 	if err := a.client.DoDeadline(req, resp, deadline); err != nil {
 		return errors.WithType(err, errPeer)
 	}
-	data, memory, err := a.read(resp.BodyStream())
+	data, memory, err := a.read(resp.BodyStream(), nil)
 	if err != nil {
 		return errors.WithType(err, errPeer)
 	}
@@ -107,12 +107,13 @@
 // contiguous text, and what is decoded from it.
 const messageOverhead = 3
 
-// read reads a packed message. The memory is to be released when it is no longer used.
-func (a *Announcer) read(r io.Reader) (data []byte, memory *bufferer.Body, err error) {
+// read reads a packed message. The function abort makes reading fail, and may be nil. The memory
+// is to be released when it is no longer used.
+func (a *Announcer) read(r io.Reader, abort func()) (data []byte, memory *bufferer.Body, err error) {
 	if r == nil {
 		return nil, nil, nil
 	}
-	memory, err = a.options.Budget.Read(bufferer.Peers, r, MaxMessage, messageOverhead)
+	memory, err = a.options.Budget.Read(bufferer.Peers, r, MaxMessage, messageOverhead, abort)
 	if err != nil {
 		return nil, nil, errors.Annotate(err, "message of a peer")
 	}
@@ -121,7 +122,8 @@
 
 // Handle serves one message from a peer.
 func (a *Announcer) Handle(ctx *fasthttp.RequestCtx) {
-	body, memory, err := a.read(ctx.RequestBodyStream())
+	c := ctx.Conn()
+	body, memory, err := a.read(ctx.RequestBodyStream(), func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 	if err != nil {
 		a.rejected.Add(1)
 		a.options.Log.Warn("message of a peer can't be received", "path", string(ctx.Path()), "peer", ctx.RemoteAddr().String(), "error", err.Error())
--- a/bufferer/body.go
+++ b/bufferer/body.go
@@ -46,8 +46,8 @@
 	evicted bool
 }
 
-// NewBody returns an empty body that is being received. The function abort, which may be
-// nil, makes its transfer fail at once; it must not block.
+// NewBody returns an empty body that is being received. The function abort makes its transfer
+// fail at once; it must not block. If it is nil, the body does not give way to others.
 func (g *Budget) NewBody(k Kind, abort func()) *Body {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -138,9 +138,9 @@
 }
 
 // Read receives a message of at most limit bytes that r has, and reserves overhead times its
-// size in addition, for what is decoded from it.
-func (g *Budget) Read(k Kind, r io.Reader, limit, overhead int) (*Body, error) {
-	b := g.NewBody(k, nil)
+// size in addition, for what is decoded from it. The function abort is that of NewBody.
+func (g *Budget) Read(k Kind, r io.Reader, limit, overhead int, abort func()) (*Body, error) {
+	b := g.NewBody(k, abort)
 	err := b.ReadAll(r, limit)
 	if err == nil {
 		err = b.Reserve(overhead * b.Len())
@@ -261,15 +261,15 @@
 }
 
 // heavier reports whether the body, with what it waits for, is of a larger class than o with
-// n more bytes. Of two medium ones the larger is heavier, since bodies without an end become
-// the largest; of two others the one that began later, so that one of several large ones is
+// n more bytes. Of two medium ones, and of two messages of other entries, the larger is heavier,
+// since bodies without an end become the largest; of two others the one that began later, so that one of several large ones is
 // completed.
 func (b *Body) heavier(o *Body, n int) bool {
 	c, d := b.classAfter(b.wanted), o.classAfter(n)
 	switch {
 	case c != d:
 		return c > d
-	case c == medium && b.reserved+b.wanted != o.reserved+n:
+	case (c == medium || b.kind == Peers && o.kind == Peers) && b.reserved+b.wanted != o.reserved+n:
 		return b.reserved+b.wanted > o.reserved+n
 	}
 	return b.order > o.order
--- a/bufferer/budget.go
+++ b/bufferer/budget.go
@@ -194,12 +194,12 @@
 }
 
 // victim returns the body that gives way so that b can grow by n bytes, nil if there is
-// none.
+// none. One whose transfer can't be interrupted would give way only when its sender goes on.
 func (g *Budget) victim(now time.Time, b *Body, n int, s shortage) *Body {
 	var out *Body
 	for o := range g.bodies {
 		relieves := (!s.class || o.classAfter(0) == b.classAfter(n)) && (!s.kind || o.kind == b.kind)
-		if o == b || o.ended != nil || o.reserved == 0 || !relieves || !o.yields(now, b, n) {
+		if o == b || o.ended != nil || o.abort == nil || o.reserved == 0 || !relieves || !o.yields(now, b, n) {
 			continue
 		}
 		if out == nil || o.yieldsBefore(now, out) {
@@ -214,9 +214,7 @@
 	b.ended, b.evicted = ErrExhausted, true
 	g.evicting++
 	g.evicted[b.kind]++
-	if b.abort != nil {
-		b.abort()
-	}
+	b.abort()
 	g.wake()
 }
 
--- a/bufferer/budget_test.go
+++ b/bufferer/budget_test.go
@@ -81,6 +81,40 @@
 	}
 }
 
+// TestBodyThatCannotBeInterrupted fills the memory with bodies whose senders stop, of which only
+// one can be interrupted. That one must give way: the others would not notice.
+func TestBodyThatCannotBeInterrupted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(testLimit)
+		first := g.NewBody(Responses, nil)
+		stop := make(chan struct{})
+		interruptible := g.NewBody(Responses, func() { close(stop) })
+		if err := interruptible.Reserve(smallSize); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			<-stop
+			interruptible.Release()
+		}()
+		stuck := []*Body{first}
+		for g.used+smallSize <= testLimit {
+			b := g.NewBody(Responses, nil)
+			if err := b.Reserve(smallSize); err != nil {
+				t.Fatal(err)
+			}
+			stuck = append(stuck, b)
+		}
+		start := time.Now()
+		if err := first.Reserve(smallSize); err != nil || time.Since(start) > checkInterval {
+			t.Errorf("got: %v after %v want: room at once", err, time.Since(start))
+			close(stop)
+		}
+		for _, b := range stuck {
+			b.Release()
+		}
+	})
+}
+
 // trickle reads a body slowly, in virtual time.
 type trickle struct {
 	left    int
