bufferer, pipeliner: headers that stay incomplete give way

What callers saw: while 1,500 connections of others had each sent the first 100 bytes of a header, 3 of 20 and 1 of 20 sound requests were served by an entry with 64 MiB; the others got 503 after a second. With 16 KiB of a header: 1 of 20.

Cause: the buffer for the longest header, 20 KiB, was reserved before the first byte was parsed, and small bodies never give way to each other. On an entry of 184 MB 2,690 incomplete headers use up the requests' share of the budget, and it accepts 2,925 connections of callers.

Ruled out: the limit of connections (the sound requests were accepted and read), the processor, the upstreams (nothing reached them).

Change: a header begins in a buffer of 4 KiB and moves to a long one when that is full; a small body that has been arriving for 0.4 s gives way to others, the oldest first; bodies that wait for at most 16 KiB get room first.

--- a/bufferer/body.go
+++ b/bufferer/body.go
@@ -20,8 +20,6 @@
 type Body struct {
 	budget *Budget
 	kind   Kind
-	// order is lower for bodies that began earlier.
-	order uint64
 	// blocks holds the content. All but the last are full.
 	blocks [][]byte
 	// size is the size of the content in bytes.
@@ -31,6 +29,9 @@
 
 	// The fields below are guarded by the budget's lock.
 
+	// order is lower for bodies that began earlier, and startedAt is when the body began.
+	order     uint64
+	startedAt time.Time
 	// reserved is what the body has reserved in bytes, and wanted what it waits for in
 	// addition.
 	reserved, wanted int
@@ -49,15 +50,23 @@
 // NewBody returns an empty body that is being received. The function abort makes its transfer
 // fail at once; it must not block. If it is nil, the body does not give way to others.
 func (g *Budget) NewBody(k Kind, abort func()) *Body {
+	b := &Body{budget: g, kind: k}
+	b.Restart(abort)
+	return b
+}
+
+// Restart records that the body is received again after Complete. It keeps what it has
+// reserved.
+func (b *Body) Restart(abort func()) {
+	g := b.budget
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.order++
-	b := &Body{budget: g, kind: k, order: g.order, abort: abort}
+	b.order, b.startedAt, b.abort = g.order, time.Now(), abort
 	if g.bodies == nil {
 		g.bodies = make(map[*Body]struct{})
 	}
 	g.bodies[b] = struct{}{}
-	return b
 }
 
 // SetDeadline bounds the wait of the body for room.
@@ -248,7 +257,13 @@
 	if b.sending {
 		return b.stalled(now)
 	}
-	return b.heavier(o, n)
+	return b.heavier(now, o, n)
+}
+
+// slow reports whether the body is small and should have been received already. Messages of
+// other entries and of the store are never slow.
+func (b *Body) slow(now time.Time) bool {
+	return b.kind != Peers && b.kind != Store && now.Sub(b.startedAt) > slowTime
 }
 
 // yieldsBefore reports whether the body gives way before another one that also does: a
@@ -257,14 +272,15 @@
 	if s, t := b.stalled(now), o.stalled(now); s != t {
 		return s
 	}
-	return b.heavier(o, o.wanted)
+	return b.heavier(now, o, o.wanted)
 }
 
 // heavier reports whether the body, with what it waits for, is of a larger class than o with
 // n more bytes. Of two medium ones, and of two messages of other entries, the larger is heavier,
 // since bodies without an end become the largest; of two large ones the one that began later, so
-// that one of several is completed. Small ones soon end, and do not give way to each other.
-func (b *Body) heavier(o *Body, n int) bool {
+// that one of several is completed. Small ones soon end, and do not give way to each other; of
+// those that did not, the one that began first is heavier.
+func (b *Body) heavier(now time.Time, o *Body, n int) bool {
 	c, d := b.classAfter(b.wanted), o.classAfter(n)
 	switch {
 	case c != d:
@@ -272,7 +288,7 @@
 	case c == medium || b.kind == Peers && o.kind == Peers:
 		return b.reserved+b.wanted > o.reserved+n
 	case c == small:
-		return false
+		return b.slow(now) && b.order < o.order
 	}
 	return b.order > o.order
 }
--- a/bufferer/budget.go
+++ b/bufferer/budget.go
@@ -47,6 +47,12 @@
 	// stallTime is the time without progress after which a body that is being sent
 	// gives way.
 	stallTime = 500 * time.Millisecond
+	// slowTime is the time after which a small body that is still being received gives way
+	// to other small ones.
+	slowTime = 400 * time.Millisecond
+	// shortSize is the size in bytes up to which waiting bodies get room before longer
+	// ones.
+	shortSize = 16 << 10
 	// firstBlock is the size in bytes of the first blocks of a body, and laterBlock
 	// that of those beyond firstBlocks.
 	firstBlock  = 4 << 10
@@ -79,6 +85,8 @@
 	bodies map[*Body]struct{}
 	// evicting counts bodies that were told to give way and have not been released.
 	evicting int
+	// waitingShort counts the bodies of at most shortSize that wait for room, by kind.
+	waitingShort [Kinds]int
 	// freed is closed when memory is released.
 	freed chan struct{}
 	// order numbers the bodies.
@@ -198,7 +206,7 @@
 func (g *Budget) victim(now time.Time, b *Body, n int, s shortage) *Body {
 	var out *Body
 	for o := range g.bodies {
-		relieves := (!s.class || o.classAfter(0) == b.classAfter(n)) && (!s.kind || o.kind == b.kind)
+		relieves := s != shortage{} && (!s.class || o.classAfter(0) == b.classAfter(n)) && (!s.kind || o.kind == b.kind)
 		if o == b || o.ended != nil || o.abort == nil || o.reserved == 0 || !relieves || !o.yields(now, b, n) {
 			continue
 		}
@@ -270,10 +278,15 @@
 
 // awaitRoom implements reserve. The lock must be held; it is released while the body waits.
 func (g *Budget) awaitRoom(b *Body, n int) error {
-	if b.ended == nil && g.shortage(b, n) == (shortage{}) {
+	short := b.reserved+n <= shortSize
+	if b.ended == nil && g.shortage(b, n) == (shortage{}) && (short || g.waitingShort[b.kind] == 0) {
 		g.resize(b, n)
 		return nil
 	}
+	if short {
+		g.waitingShort[b.kind]++
+		defer func() { g.waitingShort[b.kind]-- }()
+	}
 	b.wanted = n
 	defer func() { b.wanted = 0 }()
 	now := time.Now()
@@ -287,7 +300,7 @@
 		switch {
 		case b.ended != nil:
 			return b.ended
-		case s == shortage{}:
+		case s == shortage{} && (short || g.waitingShort[b.kind] == 0):
 			g.resize(b, n)
 			return nil
 		case !now.Before(end):
--- a/bufferer/budget_test.go
+++ b/bufferer/budget_test.go
@@ -231,6 +231,69 @@
 	})
 }
 
+// TestSlowBodiesTakeAllRoom fills the budget with small bodies whose senders have stopped. They
+// must give way to others after some time, those that began first before the rest.
+func TestSlowBodiesTakeAllRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(testLimit)
+		var gone []int
+		for i := range 6 * testLimit / 8 / smallSize {
+			var b *Body
+			b = g.NewBody(Requests, func() {
+				gone = append(gone, i)
+				go b.Release()
+			})
+			if err := b.Reserve(smallSize); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		for n := range 3 {
+			b := g.NewBody(Requests, nil)
+			b.SetDeadline(time.Now().Add(slowTime / 2))
+			if err := b.Reserve(smallSize); (err == nil) != (n > 0) {
+				t.Errorf("%d: got: %v want: room only behind bodies that have lasted for %v", n, err, slowTime)
+			}
+			time.Sleep(slowTime / 2)
+		}
+		if len(gone) != 2 || gone[0] != 0 || gone[1] != 1 {
+			t.Errorf("got: %v gave way want: 0, 1", gone)
+		}
+	})
+}
+
+// TestShortBodyBehindLongOnes has small bodies wait for room, one of them short and the last in the
+// line. It must have the first room.
+func TestShortBodyBehindLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(testLimit)
+		var first *Body
+		for range 6 * testLimit / 8 / smallSize {
+			first = g.NewBody(Requests, nil)
+			if err := first.Reserve(smallSize); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				if err := g.NewBody(Requests, nil).Reserve(smallSize); err == nil {
+					t.Error("got: room for a long body want: none")
+				}
+			})
+		}
+		synctest.Wait()
+		wg.Go(func() {
+			if err := g.NewBody(Requests, nil).Reserve(shortSize); err != nil {
+				t.Errorf("got: %v want: room for a short body", err)
+			}
+		})
+		synctest.Wait()
+		first.Release()
+		wg.Wait()
+	})
+}
+
 // TestFreeBlocksExceedLimit fills the budget with bodies of one size of blocks, and then of the
 // other. The blocks that no body uses are a part of the memory too.
 func TestFreeBlocksExceedLimit(t *testing.T) {
--- a/bufferer/doc.go
+++ b/bufferer/doc.go
@@ -8,7 +8,8 @@
 // however many large ones are. A body for which there is no room waits for it, which
 // leaves its sender waiting too. Of bodies that wait for each other one gives way, so that
 // the others are completed: one of the largest class, and there the largest of medium size,
-// or the large one that began last. A body whose recipient does not read it gives way to
+// or the large one that began last. A small body that has been arriving for some time gives way
+// to other small ones. A body whose recipient does not read it gives way to
 // any other.
 //
 // Bodies consist of blocks that are used again, not of a contiguous slice: a slice that
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"poplarwind/bufferer"
 	"poplarwind/internal/inspector"
@@ -86,13 +87,14 @@
 		}
 		p := newPendingCall()
 		p.ArrivedAt = time.Now()
-		if err := c.read(r, p); err != nil && !c.failRead(p, err) {
+		var err error
+		if r, err = c.read(r, p); err != nil && !c.failRead(p, err) {
 			c.abort()
 			return
 		}
 		buffered := r.Buffered() > 0
 		if !buffered {
-			c.server.readers.Put(r)
+			c.server.putReader(r)
 			c.buffer.Release()
 			r, c.buffer = nil, nil
 		}
@@ -187,25 +189,26 @@
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(transferTimeout))
 	r := c.server.readers.Get().(*bufio.Reader)
-	r.Reset(&prefixedReader{first: first[0], unread: true, rest: c.net})
+	r.Reset(&prefixedReader{prefix: first[:], rest: c.net})
 	return r, nil
 }
 
-// prefixedReader reads a byte and then the rest from a connection.
+// prefixedReader reads some bytes and then the rest from a connection.
 type prefixedReader struct {
-	first byte
-	// unread reports whether first was not read yet.
-	unread bool
+	// prefix is what was not read yet of the first bytes.
+	prefix []byte
 	rest   net.Conn
 }
 
 // Read implements io.Reader.
 func (r *prefixedReader) Read(p []byte) (int, error) {
-	if !r.unread || len(p) == 0 {
+	if len(r.prefix) == 0 {
+		r.prefix = nil
 		return r.rest.Read(p)
 	}
-	p[0], r.unread = r.first, false
-	return 1, nil
+	n := copy(p, r.prefix)
+	r.prefix = r.prefix[n:]
+	return n, nil
 }
 
 func isTimeout(err error) bool {
@@ -235,35 +238,71 @@
 	headerCopies = 3
 )
 
-// read reads a request.
-func (c *conn) read(r *bufio.Reader, p *pendingCall) error {
-	budget := c.server.options.Budget
+// read reads a request. It returns the reader for the next one.
+func (c *conn) read(r *bufio.Reader, p *pendingCall) (*bufio.Reader, error) {
+	r, err := c.readHeader(r, p.Request)
+	if err == nil {
+		r, err = c.readBody(r, p)
+	}
+	return r, err
+}
+
+// readHeader reads the header of a request and returns the reader for what follows.
+func (c *conn) readHeader(r *bufio.Reader, req *fasthttp.Request) (*bufio.Reader, error) {
 	if c.buffer == nil {
-		c.buffer = budget.NewBody(bufferer.Requests, c.interruptRead)
+		c.buffer = c.server.options.Budget.NewBody(bufferer.Requests, c.interruptRead)
 		if err := c.buffer.Reserve(r.Size()); err != nil {
-			return err
+			return r, err
 		}
+	} else {
+		c.buffer.Restart(c.interruptRead)
+	}
+	r, err := c.readFields(r, func(r *bufio.Reader) error { return readHeader(r, req) })
+	if err != nil {
+		return r, err
 	}
-	if err := readHeader(r, p.Request); err != nil {
-		return err
+	return r, c.buffer.Complete()
+}
+
+// readFields reads header fields by read, which consumes nothing if they don't fit in the buffer
+// of the reader. It then reads them with a longer one, which it returns.
+func (c *conn) readFields(r *bufio.Reader, read func(*bufio.Reader) error) (*bufio.Reader, error) {
+	err := read(r)
+	var full *fasthttp.ErrSmallBuffer
+	if !errors.As(err, &full) || r.Size() >= c.server.options.MaxHeader {
+		return r, err
 	}
-	if err := c.buffer.Complete(); err != nil {
-		return err
+	if err := c.buffer.Reserve(c.server.options.MaxHeader - r.Size()); err != nil {
+		return r, err
 	}
+	r = c.server.lengthen(r, c.net)
+	return r, read(r)
+}
+
+// readBody reads the body of a request, and returns the reader for what follows.
+func (c *conn) readBody(r *bufio.Reader, p *pendingCall) (*bufio.Reader, error) {
+	budget := c.server.options.Budget
 	p.Body = budget.NewBody(bufferer.Requests, c.interruptRead)
 	if err := p.Body.Reserve(callOverhead + headerCopies*len(p.Request.Header.RawHeaders())); err != nil {
-		return err
+		return r, err
 	}
 	if p.Request.MayContinue() {
 		if err := c.sendContinue(); err != nil {
-			return err
+			return r, err
 		}
 	}
+	inChunks := p.Request.Header.ContentLength() == chunked
 	if err := readBody(r, p.Request, p.Body, c.server.options.MaxBody); err != nil {
-		return err
+		return r, err
+	}
+	if inChunks {
+		var err error
+		if r, err = c.readFields(r, func(r *bufio.Reader) error { return readTrailer(r, p.Request) }); err != nil {
+			return r, err
+		}
 	}
 	p.size = p.Body.Len()
-	return p.Body.Complete()
+	return r, p.Body.Complete()
 }
 
 // sendContinue asks the caller for the body of a request, once the requests ahead
--- a/pipeliner/conn_test.go
+++ b/pipeliner/conn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +19,7 @@
 	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/bufferer"
 	_ "poplarwind/internal/seeder"
 )
 
@@ -103,6 +106,47 @@
 	}
 }
 
+// TestLongFieldsOfPipelinedRequests sends requests in a row whose headers and trailers exceed the
+// first buffer, byte by byte. Each must be read whole, and those beyond the limit be rejected.
+func TestLongFieldsOfPipelinedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := bufferer.New(1 << 20)
+		h := newTestHandler()
+		s := New(Options{Handler: h, MaxHeader: 3 * readBufferSize, MaxBody: testMaxBody, MaxConns: 1, Budget: budget, Log: slog.New(slog.DiscardHandler), IdleTimeout: func() time.Duration { return testIdle }})
+		caller, wg := h.connect(s)
+		field := func(n int) string { return "X-Long: " + strings.Repeat("x", n) + "\r\n" }
+		var text strings.Builder
+		for i, n := range []int{10, readBufferSize, 2 * readBufferSize, 10, readBufferSize - 90} {
+			fmt.Fprintf(&text, "GET /safe/0/%d HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n%s\r\n", i, i, field(n))
+		}
+		text.WriteString("POST /safe/0/5 HTTP/1.1\r\nHost: h\r\nRequest-Id: 5\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + field(readBufferSize) + "\r\n")
+		text.WriteString("GET /safe/0/6 HTTP/1.1\r\nHost: h\r\nRequest-Id: 6\r\n" + field(4*readBufferSize) + "\r\n")
+		go func() {
+			for _, b := range []byte(text.String()) {
+				if _, err := caller.Write([]byte{b}); err != nil {
+					return
+				}
+			}
+		}()
+		wg.Wait()
+		synctest.Wait()
+		got := strings.Join(h.events, "\n")
+		for i := range 6 {
+			if want := fmt.Sprintf("start %d", i); strings.Count(got, want) != 1 {
+				t.Errorf("got: %s want: %s", got, want)
+			}
+		}
+		if !strings.Contains(got, "431") {
+			t.Errorf("got: %s want: a rejection of the header beyond the limit", got)
+		}
+		_ = caller.Close()
+		time.Sleep(time.Minute)
+		if u := budget.Usage(); u.Used != 0 {
+			t.Errorf("got: %d bytes in use want: 0", u.Used)
+		}
+	})
+}
+
 // TestPendingBound sends more requests at once than a connection may have pending
 // while the first one runs: the rest stays unread.
 func TestPendingBound(t *testing.T) {
--- a/pipeliner/request.go
+++ b/pipeliner/request.go
@@ -35,7 +35,8 @@
 )
 
 // readBody reads the body of a request of at most limit bytes, 0 meaning that it is not
-// limited. Its length is then that of the body, whether or not it came in chunks.
+// limited. Its length is then that of the body, whether or not it came in chunks. A trailer
+// stays unread.
 func readBody(r *bufio.Reader, req *fasthttp.Request, b *bufferer.Body, limit int) error {
 	n := req.Header.ContentLength()
 	if n == bodyless {
@@ -51,15 +52,22 @@
 	if errors.Is(err, bufferer.ErrTooLarge) {
 		return fasthttp.ErrBodyTooLarge
 	}
-	if err == nil {
-		err = req.Header.ReadTrailer(r)
+	if b.Len() == 0 {
+		req.Header.SetContentLength(0)
 	}
+	return endError(err)
+}
+
+// readTrailer reads what follows the last chunk of a body.
+func readTrailer(r *bufio.Reader, req *fasthttp.Request) error {
+	return endError(req.Header.ReadTrailer(r))
+}
+
+// endError returns the error of a request that may have ended before it was complete.
+func endError(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
-	if b.Len() == 0 {
-		req.Header.SetContentLength(0)
-	}
 	return err
 }
 
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -36,8 +37,9 @@
 // Server serves connections. Use New to create one.
 type Server struct {
 	options Options
-	// readers and writers hold buffers that no connection uses.
-	readers, writers sync.Pool
+	// readers, longReaders and writers hold buffers that no connection uses. Those of
+	// longReaders hold the longest header that is allowed.
+	readers, longReaders, writers sync.Pool
 	// draining is set when connections close after the responses to the requests
 	// that were read.
 	draining atomic.Bool
@@ -50,9 +52,15 @@
 	conns map[*conn]struct{}
 }
 
-// writeBufferSize is the size in bytes of the buffer for a response. Larger bodies
-// are written from their own memory.
-const writeBufferSize = 4 << 10
+const (
+	// writeBufferSize is the size in bytes of the buffer for a response. Larger bodies
+	// are written from their own memory.
+	writeBufferSize = 4 << 10
+	// readBufferSize is the size in bytes of the buffer in which a header is received.
+	// Longer headers have another one: callers may leave headers incomplete on all of
+	// their connections.
+	readBufferSize = 4 << 10
+)
 
 // New returns a Server.
 func New(o Options) *Server {
@@ -60,7 +68,8 @@
 		o.Budget = &bufferer.Budget{}
 	}
 	s := &Server{options: o, conns: make(map[*conn]struct{})}
-	s.readers.New = func() any { return bufio.NewReaderSize(nil, o.MaxHeader) }
+	s.readers.New = func() any { return bufio.NewReaderSize(nil, min(readBufferSize, o.MaxHeader)) }
+	s.longReaders.New = func() any { return bufio.NewReaderSize(nil, o.MaxHeader) }
 	s.writers.New = func() any { return bufio.NewWriterSize(nil, writeBufferSize) }
 	return s
 }
@@ -88,6 +97,26 @@
 	}
 }
 
+// lengthen returns a reader of a connection with room for a header of any allowed length, which
+// begins with what r has received. It takes r back.
+func (s *Server) lengthen(r *bufio.Reader, c net.Conn) *bufio.Reader {
+	received, _ := r.Peek(r.Buffered())
+	long := s.longReaders.Get().(*bufio.Reader)
+	long.Reset(&prefixedReader{prefix: bytes.Clone(received), rest: c})
+	s.putReader(r)
+	return long
+}
+
+// putReader takes a buffer back that no connection uses.
+func (s *Server) putReader(r *bufio.Reader) {
+	r.Reset(nil)
+	if r.Size() > readBufferSize {
+		s.longReaders.Put(r)
+	} else {
+		s.readers.Put(r)
+	}
+}
+
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(n net.Conn) {
 	c := &conn{server: s, net: n, changed: make(chan struct{}, 1)}
--- a/runner/memory_test.go
+++ b/runner/memory_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"poplarwind/platform/imitator"
 )
 
@@ -90,6 +92,33 @@
 	}
 }
 
+// endlessHeaders opens connections whose requests have a header of size bytes that does not end.
+func endlessHeaders(size int) memoryTrouble {
+	return func(g *testGateway, _ *link, wg *sync.WaitGroup, stop <-chan struct{}) {
+		head := "GET /sound/1 HTTP/1.1\r\nHost: h.example\r\nX-Long: "
+		head += strings.Repeat("x", max(0, size-len(head)))
+		for range 1500 {
+			wg.Go(func() {
+				for !closed(stop) {
+					c, err := net.Dial("tcp", g.process.Callers())
+					if err != nil {
+						return
+					}
+					_, err = io.WriteString(c, head)
+					for err == nil && !closed(stop) {
+						_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+						_, err = c.Read(make([]byte, 64))
+						if isTimeout(err) {
+							err = nil
+						}
+					}
+					_ = c.Close()
+				}
+			})
+		}
+	}
+}
+
 // upload sends a header and up to limit bytes, as fast as they are read, until stop is closed.
 // It opens a new connection if one ends.
 func upload(addr, head string, limit int, l *link, stop <-chan struct{}) {
@@ -110,7 +139,7 @@
 			var n int
 			n, err = c.Write(block)
 			sent += n
-			if netErr, ok := err.(net.Error); ok && netErr.Timeout() {
+			if isTimeout(err) {
 				err = nil
 			}
 		}
@@ -136,6 +165,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func closed(c <-chan struct{}) bool {
 	select {
 	case <-c:
@@ -155,6 +189,8 @@
 		"uploads in chunks":           endlessUploads("POST /sound/1 HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n"),
 		"messages of peers":           endlessMessages,
 		"responses that are not read": unreadResponses,
+		"short headers":               endlessHeaders(100),
+		"long headers":                endlessHeaders(16 << 10),
 	}
 }
 
