acceptor, runner: idle connections give way at every listener

What clients saw: while 296 connections to the directory were open and idle, or their requests did not end, each new client got 503; likewise at the ready address, at the ports for entries and for operators.

An idle connection keeps its place for a minute.

Ruled out: descriptors, memory, the handlers. Callers' own listener closes idle connections already.

Change: acceptor.Limiter counts the open connections. For one beyond the bound it closes the connection that was idle for the longest time (0.25 s at least), or else the one whose request takes longest (2 s at least). Metrics, /status and a log line.

--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"runtime/debug"
@@ -16,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/bufferer"
+	"poplarwind/internal/acceptor"
 )
 
 // Options configures a Server.
@@ -121,8 +121,7 @@
 func (s *Server) ServeConn(n net.Conn) {
 	c := &conn{server: s, net: n, changed: make(chan struct{}, 1)}
 	if !s.add(c) {
-		_, _ = io.WriteString(n, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-		_ = n.Close()
+		acceptor.TurnAway(n)
 		return
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -149,15 +148,11 @@
 	s.closeLongestIdle()
 }
 
-// minIdle is how long a connection must have been idle to be closed for another one: callers
-// send a request soon after they have opened a connection.
-const minIdle = 250 * time.Millisecond
-
 // closeLongestIdle implements CloseLongestIdle and reports whether there was one. The lock must
 // be held.
 func (s *Server) closeLongestIdle() bool {
 	var longest *conn
-	oldest := time.Now().Add(-minIdle)
+	oldest := time.Now().Add(-acceptor.MinIdle)
 	for c := range s.conns {
 		if since, idle := c.idle(); idle && since.Before(oldest) {
 			longest, oldest = c, since
--- a/pipeliner/server_test.go
+++ b/pipeliner/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/internal/acceptor"
 	_ "poplarwind/internal/seeder"
 )
 
@@ -147,7 +148,7 @@
 			caller, entry := net.Pipe()
 			go s.ServeConn(entry)
 			synctest.Wait()
-			time.Sleep(2 * minIdle)
+			time.Sleep(2 * acceptor.MinIdle)
 			return caller
 		}
 		closed := func(c net.Conn) bool {
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -21,6 +21,7 @@
 	"poplarwind/announcer"
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
+	"poplarwind/internal/acceptor"
 	"poplarwind/pipeliner"
 	"poplarwind/quarantiner"
 	"poplarwind/reacher"
@@ -49,6 +50,8 @@
 	Memory func() bufferer.Usage
 	// Connections returns the number of callers' connections.
 	Connections func() pipeliner.Connections
+	// Listeners returns the use of the other listeners, by name.
+	Listeners func() map[string]acceptor.Usage
 	// UnreadHeaders returns the number of headers of responses that nothing reads, by
 	// name.
 	UnreadHeaders func() map[string]int64
@@ -116,6 +119,8 @@
 		{"poplarwind.memory.rejected", "Messages for which there was no memory left, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Rejected })},
 		{"poplarwind.connections.closed_idle", "Callers' connections that were closed for others while they were idle.", g.counter(func() int64 { return g.sources.Connections().ClosedIdle })},
 		{"poplarwind.connections.turned_away", "Callers' connections for which there was no room.", g.counter(func() int64 { return g.sources.Connections().TurnedAway })},
+		{"poplarwind.listeners.closed", "Connections to other listeners that were closed for others, by listener.", g.perListener(func(u acceptor.Usage) int64 { return u.Closed })},
+		{"poplarwind.listeners.turned_away", "Connections to other listeners for which there was no room, by listener.", g.perListener(func(u acceptor.Usage) int64 { return u.TurnedAway })},
 		{"poplarwind.headers.unread", "Headers of responses that nothing reads, by name.", func(o metric.Observer, i metric.Int64Observable) {
 			for name, n := range g.sources.UnreadHeaders() {
 				o.ObserveInt64(i, n, metric.WithAttributes(attribute.String("name", name)))
@@ -160,6 +165,16 @@
 	}
 }
 
+// perListener returns a callback that observes one value of each listener other than that of
+// callers.
+func (g *Gateway) perListener(value func(acceptor.Usage) int64) func(metric.Observer, metric.Int64Observable) {
+	return func(o metric.Observer, i metric.Int64Observable) {
+		for name, u := range g.sources.Listeners() {
+			o.ObserveInt64(i, value(u), metric.WithAttributes(attribute.String("listener", name)))
+		}
+	}
+}
+
 // registerGauges registers the gauges that are read at each scrape.
 func (g *Gateway) registerGauges(meter metric.Meter) error {
 	for _, v := range []struct {
@@ -308,6 +323,8 @@
 	Memory     bufferer.Usage       `json:"memory"`
 	// Connections counts callers' connections.
 	Connections pipeliner.Connections `json:"connections"`
+	// Listeners holds the use of the other listeners, by name.
+	Listeners map[string]acceptor.Usage `json:"listeners"`
 }
 
 // Status returns the current state of the entry.
@@ -317,7 +334,7 @@
 	out := GatewayStatus{
 		Entry: s.Name, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
-		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(), Connections: s.Connections(),
+		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(), Connections: s.Connections(), Listeners: s.Listeners(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
 		out.Version = t.Version()
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -68,10 +68,14 @@
 // gatewayListener is a listener of a gateway with its handler.
 type gatewayListener struct {
 	listener
+	// name is what the listener is for, in metrics.
+	name string
 	// address is the configured listen address.
 	address     string
 	handle      fasthttp.RequestHandler
 	idleTimeout time.Duration
+	// limiter bounds the open connections.
+	limiter *acceptor.Limiter
 }
 
 const (
@@ -146,7 +150,7 @@
 	})
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, Listeners: g.listenerUsage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
@@ -177,23 +181,34 @@
 	o := p.Gateway()
 	small := listener{body: opsMaxBody, header: internalMaxHeader, conns: limits.others}
 	g.listeners = []gatewayListener{
-		{address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: limits.others, stream: true}},
-		{address: p.Ops(), handle: g.reporter.Handle, idleTimeout: idleTimeout, listener: small},
-		{address: o.ResolveAddr(), handle: platform.ResolveHandler(g.resolve), idleTimeout: idleTimeout, listener: small},
-		{address: o.ReadyAddr(), handle: platform.ReadyHandler(g.ready), idleTimeout: idleTimeout, listener: small},
+		{name: "peers", address: p.Peers(), handle: g.announcer.Handle, idleTimeout: gatewayIdleTimeout, listener: listener{body: peersMaxBody, header: internalMaxHeader, conns: limits.others, stream: true}},
+		{name: "ops", address: p.Ops(), handle: g.reporter.Handle, idleTimeout: idleTimeout, listener: small},
+		{name: "directory", address: o.ResolveAddr(), handle: platform.ResolveHandler(g.resolve), idleTimeout: idleTimeout, listener: small},
+		{name: "ready", address: o.ReadyAddr(), handle: platform.ReadyHandler(g.ready), idleTimeout: idleTimeout, listener: small},
 	}
 	var err error
 	if g.callersListener, err = listenTCP(p.Callers()); err != nil {
 		return err
 	}
 	for i := range g.listeners {
-		if g.listeners[i].Listener, err = listenTCP(g.listeners[i].address); err != nil {
+		l := &g.listeners[i]
+		if l.Listener, err = listenTCP(l.address); err != nil {
 			return err
 		}
+		l.limiter = &acceptor.Limiter{Max: l.conns, Log: g.log}
 	}
 	return nil
 }
 
+// listenerUsage returns the use of the listeners other than that of callers, by name.
+func (g *Gateway) listenerUsage() map[string]acceptor.Usage {
+	out := make(map[string]acceptor.Usage, len(g.listeners))
+	for i := range g.listeners {
+		out[g.listeners[i].name] = g.listeners[i].limiter.Usage()
+	}
+	return out
+}
+
 func listenTCP(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	return l, errors.Annotatef(err, "listening at %s", address)
@@ -234,8 +249,9 @@
 
 // serve runs a server on a listener. An error is ignored during a planned stop,
 // which closes the listener.
-func (g *Gateway) serve(s *fasthttp.Server, l net.Listener) error {
-	if err := s.Serve(g.accept(l)); err != nil && !g.draining.Load() {
+func (g *Gateway) serve(s *fasthttp.Server, l gatewayListener) error {
+	l.limiter.Listener, s.ConnState = g.accept(l.Listener), l.limiter.ConnState
+	if err := s.Serve(l.limiter); err != nil && !g.draining.Load() {
 		return errors.Annotatef(err, "serving at %s", l.Addr())
 	}
 	return nil
@@ -284,7 +300,7 @@
 		s := l.server(l.handle)
 		s.IdleTimeout, s.ReduceMemoryUsage = l.idleTimeout, true
 		servers = append(servers, httpServer{s})
-		group.Go(func() error { return g.serve(s, l.Listener) })
+		group.Go(func() error { return g.serve(s, l) })
 	}
 	for _, f := range tasks {
 		group.Go(func() error { return f(taskCtx) })
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -77,16 +77,19 @@
 	for i, l := range r.listeners {
 		s := l.server(handlers[i])
 		servers = append(servers, s)
-		g.Go(func() error { return s.Serve(&acceptor.Listener{Listener: l.Listener, Log: r.log}) })
+		limiter := &acceptor.Limiter{Listener: &acceptor.Listener{Listener: l.Listener, Log: r.log}, Max: l.conns, Log: r.log}
+		s.ConnState = limiter.ConnState
+		g.Go(func() error { return s.Serve(limiter) })
 	}
 	return servers
 }
 
-// server returns a server with the limits of the listener.
+// server returns a server with the limits of the listener. The connections are to be bounded by
+// an acceptor.Limiter; the server's own bound is higher, as it counts closed ones for a while.
 func (l listener) server(handle fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handle, ErrorHandler: handleReadError, MaxRequestBodySize: l.body, ReadBufferSize: l.header,
-		Concurrency: l.conns, ReadTimeout: transferTimeout, WriteTimeout: transferTimeout, IdleTimeout: idleTimeout,
+		Concurrency: 2 * l.conns, ReadTimeout: transferTimeout, WriteTimeout: transferTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true, CloseOnShutdown: true,
 		DisablePreParseMultipartForm: true, StreamRequestBody: l.stream, Logger: discardLogger{},
 	}
