pipeliner: a rejection on a broken connection does not end the process

What callers saw: an entry ended by a panic, with all requests that it had in hand.

Cause: enqueue adds a call although the connection broke while its request was received. If the call is answered already, by a rejection, the steps of writing take it for a started one, the count of started calls falls to -1, and breakOff panics. A request waits up to a second for memory before it is rejected, which is the time in which a caller that leaves ends the entry.

Ruled out: read errors of a closed TCP connection, which end the connection before enqueue (the panic first seen in a draft of a test came from an error that only pipes return).

Change: enqueue drops a call of a broken connection and releases its memory.

Measured: TestRejectedRequestOnBrokenConnection, before: panic, slice bounds out of range [-1:]; after: passes, also three runs of the package.

--- a/pipeliner/respond.go
+++ b/pipeliner/respond.go
@@ -9,14 +9,19 @@
 	"github.com/valyala/fasthttp"
 )
 
-// enqueue adds a call and starts it if it does not have to wait for others.
+// enqueue adds a call and starts it if it does not have to wait for others. It drops the call if
+// the connection broke while the request was received.
 func (c *conn) enqueue(p *pendingCall) {
 	if !p.done {
 		p.concurrent = c.server.options.Handler.Concurrent(&p.Call)
 	}
-	c.server.pending.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.broken {
+		p.release()
+		return
+	}
+	c.server.pending.Add(1)
 	if p.last {
 		c.closing = true
 	}
--- a/pipeliner/server_test.go
+++ b/pipeliner/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/bufferer"
 	"poplarwind/internal/acceptor"
 	_ "poplarwind/internal/seeder"
 )
@@ -184,3 +185,40 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// TestRejectedRequestOnBrokenConnection has no memory left for the second request of a connection.
+// While it waits for memory, the caller leaves, and the response to the first can't be written. The
+// rejection of the second must not end the process.
+func TestRejectedRequestOnBrokenConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := bufferer.New(128 << 10)
+		s := New(Options{
+			Handler: newTestHandler(), MaxHeader: testMaxHeader, MaxBody: testMaxBody, MaxConns: 1, Budget: budget,
+			IdleTimeout: func() time.Duration { return testIdle }, Log: slog.New(slog.DiscardHandler),
+		})
+		caller, entry := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.ServeConn(entry)
+		}()
+		_, _ = io.WriteString(caller, "GET /safe/300/first HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		others := []*bufferer.Body{budget.NewBody(bufferer.Requests, nil), budget.NewBody(bufferer.Requests, nil)}
+		for i, size := range []int{64 << 10, 15 << 10} {
+			if err := others[i].Reserve(size); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, _ = io.WriteString(caller, "GET /safe/300/second HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 1000)+"\r\n\r\n")
+		synctest.Wait()
+		_ = caller.Close()
+		<-done
+		for _, b := range others {
+			b.Release()
+		}
+		if u := budget.Usage(); u.Used != 0 || u.Rejected["requests"] != 1 || s.Pending() != 0 {
+			t.Errorf("got: %+v, %d pending want: nothing in use, one rejected", u, s.Pending())
+		}
+	})
+}
