pipeliner: requests that do not go on give way to other callers

What callers saw: while others had stopped within a header or a body on all of the connections that an entry may have, each new caller got 503, for up to 10 s.

Cause: only idle connections are closed for new ones. One on which a request has begun is neither idle nor does it have a request in hand.

One with a request in hand is never closed.

Measured: TestSlowRequestsBlockCallers (within a header, a body, a chunk), without the change: two turned away where one was expected, in each case; with it: passes.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -59,8 +59,9 @@
 	bytes int
 	// awaiting is set while the reader waits for the first byte of a request.
 	awaiting bool
-	// idleSince is when the connection was last without a request.
-	idleSince time.Time
+	// idleSince is when the connection was last without a request, and receivingSince when
+	// the request began that is being received, the zero time if none is.
+	idleSince, receivingSince time.Time
 	// writing is set while a goroutine writes responses.
 	writing bool
 	// closing is set when no further request is accepted, and broken when
@@ -87,6 +88,7 @@
 		}
 		p := newPendingCall()
 		p.ArrivedAt = time.Now()
+		c.setReceiving(p.ArrivedAt)
 		var err error
 		if r, err = c.read(r, p); err != nil && !c.failRead(p, err) {
 			c.abort()
@@ -352,6 +354,32 @@
 	c.pending = c.pending[:c.started]
 }
 
+// setReceiving records when the request began that is being received.
+func (c *conn) setReceiving(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivingSince = since
+}
+
+// receiving reports whether a request is being received and no other is in hand, and since when.
+func (c *conn) receiving() (since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.receivingSince, !c.receivingSince.IsZero() && !c.closing && len(c.pending) == 0
+}
+
+// closeReceiving closes the connection if a request is being received and no other is in hand,
+// and reports whether it did.
+func (c *conn) closeReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receivingSince.IsZero() || len(c.pending) > 0 {
+		return false
+	}
+	c.breakOff()
+	return true
+}
+
 // closeIdle closes the connection if it has no request, and reports whether it had none.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
--- a/pipeliner/respond.go
+++ b/pipeliner/respond.go
@@ -17,6 +17,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.receivingSince = time.Time{}
 	if c.broken {
 		p.release()
 		return
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -45,8 +45,8 @@
 	draining atomic.Bool
 	// pending counts requests that were read and whose responses are not written.
 	pending atomic.Int64
-	// closedIdle and turnedAway count connections, as in Connections.
-	closedIdle, turnedAway atomic.Int64
+	// closedIdle, closedSlow and turnedAway count connections, as in Connections.
+	closedIdle, closedSlow, turnedAway atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -128,12 +128,12 @@
 	c.serve()
 }
 
-// add registers a connection. If there are too many, it closes the one that has been idle for
-// the longest time; it returns false if none is idle.
+// add registers a connection. If there are too many, it closes another one that has no request in
+// hand; it returns false if none can be closed.
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.options.MaxConns && !s.closeLongestIdle() {
+	if len(s.conns) >= s.options.MaxConns && !s.closeLongestIdle() && !s.closeSlowest() {
 		s.turnedAway.Add(1)
 		return false
 	}
@@ -151,13 +151,7 @@
 // closeLongestIdle implements CloseLongestIdle and reports whether there was one. The lock must
 // be held.
 func (s *Server) closeLongestIdle() bool {
-	var longest *conn
-	oldest := time.Now().Add(-acceptor.MinIdle)
-	for c := range s.conns {
-		if since, idle := c.idle(); idle && since.Before(oldest) {
-			longest, oldest = c, since
-		}
-	}
+	longest := s.longest(acceptor.MinIdle, (*conn).idle)
 	if longest == nil || !longest.closeIdle() {
 		return false
 	}
@@ -166,13 +160,41 @@
 	return true
 }
 
+// closeSlowest closes the connection whose only request has been received for the longest time,
+// and reports whether there was one. The lock must be held.
+func (s *Server) closeSlowest() bool {
+	slowest := s.longest(acceptor.MaxTransfer, (*conn).receiving)
+	if slowest == nil || !slowest.closeReceiving() {
+		return false
+	}
+	delete(s.conns, slowest)
+	s.closedSlow.Add(1)
+	return true
+}
+
+// longest returns the connection that has been in a state for the longest time, at least for
+// least, or nil. The function state reports whether a connection is in it, and since when. The
+// lock must be held.
+func (s *Server) longest(least time.Duration, state func(*conn) (since time.Time, ok bool)) *conn {
+	var longest *conn
+	oldest := time.Now().Add(-least)
+	for c := range s.conns {
+		if since, ok := state(c); ok && since.Before(oldest) {
+			longest, oldest = c, since
+		}
+	}
+	return longest
+}
+
 // Connections is the number of connections of a server.
 type Connections struct {
 	Open  int `json:"open"`
 	Limit int `json:"limit"`
-	// ClosedIdle counts connections that were closed for others while they were idle, and
-	// TurnedAway those for which there was no room.
+	// ClosedIdle and ClosedSlow count connections that were closed for others while they were
+	// idle and while a request was received slowly, and TurnedAway those for which there was no
+	// room.
 	ClosedIdle int64 `json:"closed_idle"`
+	ClosedSlow int64 `json:"closed_slow"`
 	TurnedAway int64 `json:"turned_away"`
 }
 
@@ -180,7 +202,7 @@
 func (s *Server) Connections() Connections {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Connections{Open: len(s.conns), Limit: s.options.MaxConns, ClosedIdle: s.closedIdle.Load(), TurnedAway: s.turnedAway.Load()}
+	return Connections{Open: len(s.conns), Limit: s.options.MaxConns, ClosedIdle: s.closedIdle.Load(), ClosedSlow: s.closedSlow.Load(), TurnedAway: s.turnedAway.Load()}
 }
 
 func (s *Server) remove(c *conn) {
--- a/pipeliner/server_test.go
+++ b/pipeliner/server_test.go
@@ -222,3 +222,50 @@
 		}
 	})
 }
+
+// TestSlowRequestsBlockCallers has a caller on each connection that a server may have send a part of
+// a request and stop. The one whose request began first must make room for another caller, once it
+// has lasted for some time, and none that has a request in hand.
+func TestSlowRequestsBlockCallers(t *testing.T) {
+	for name, part := range map[string]string{
+		"header": "GET /safe/0/slow HTTP/1.1\r\nHo", "body": "POST /safe/0/slow HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n1",
+		"chunk": "POST /safe/0/slow HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Options{
+					Handler: newTestHandler(), MaxHeader: testMaxHeader, MaxBody: testMaxBody, MaxConns: 3,
+					IdleTimeout: func() time.Duration { return testIdle }, Log: slog.New(slog.DiscardHandler),
+				})
+				var conns []net.Conn
+				send := func(text string) {
+					caller, entry := net.Pipe()
+					go s.ServeConn(entry)
+					go func() { _, _ = io.WriteString(caller, text) }()
+					synctest.Wait()
+					conns = append(conns, caller)
+				}
+				busy := "GET /safe/60000/busy HTTP/1.1\r\nHost: h\r\n\r\n"
+				send(busy)
+				send(part)
+				send(part)
+				for _, want := range []Connections{
+					{Open: 3, Limit: 3, TurnedAway: 1},
+					{Open: 3, Limit: 3, TurnedAway: 1, ClosedSlow: 1},
+					{Open: 3, Limit: 3, TurnedAway: 1, ClosedSlow: 2},
+					{Open: 3, Limit: 3, TurnedAway: 2, ClosedSlow: 2},
+				} {
+					send(busy)
+					if got := s.Connections(); got != want {
+						t.Errorf("got: %+v want: %+v", got, want)
+					}
+					time.Sleep(acceptor.MaxTransfer + time.Second)
+				}
+				for _, c := range conns {
+					_ = c.Close()
+				}
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -118,6 +118,7 @@
 		{"poplarwind.memory.evicted", "Messages that gave way to others in memory, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Evicted })},
 		{"poplarwind.memory.rejected", "Messages for which there was no memory left, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Rejected })},
 		{"poplarwind.connections.closed_idle", "Callers' connections that were closed for others while they were idle.", g.counter(func() int64 { return g.sources.Connections().ClosedIdle })},
+		{"poplarwind.connections.closed_slow", "Callers' connections that were closed for others while a request was received slowly.", g.counter(func() int64 { return g.sources.Connections().ClosedSlow })},
 		{"poplarwind.connections.turned_away", "Callers' connections for which there was no room.", g.counter(func() int64 { return g.sources.Connections().TurnedAway })},
 		{"poplarwind.listeners.closed", "Connections to other listeners that were closed for others, by listener.", g.perListener(func(u acceptor.Usage) int64 { return u.Closed })},
 		{"poplarwind.listeners.turned_away", "Connections to other listeners for which there was no room, by listener.", g.perListener(func(u acceptor.Usage) int64 { return u.TurnedAway })},
