reporter: reports that are not read don't use up the memory

What happened: 256 clients that ask for /dump and read nothing held 61 MiB of an entry with 64 MiB, in a test with ten upstreams. In a large deployment a dump has megabytes, so some dozens would exceed the memory of an entry.

Cause: a report is held until it was sent, and nothing bounds their number but that of the connections.

Change: at most four reports are made or sent at the same time. The body is a stream whose close, which the server calls in any case, makes room for another. A further one gets 503 with Retry-After.

--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -64,6 +64,7 @@
 type Gateway struct {
 	sources GatewaySources
 	scrape  fasthttp.RequestHandler
+	reports reportLimiter
 	latency metric.Float64Histogram
 
 	mu sync.RWMutex
@@ -351,17 +352,11 @@
 func (g *Gateway) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/metrics":
-		g.scrape(ctx)
+		g.reports.serve(ctx, g.scrape)
 	case "/status":
-		writeJSON(ctx, g.Status())
+		g.reports.serve(ctx, func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, g.Status()) })
 	case "/dump":
-		stacks := make([]byte, maxStackBytes)
-		writeJSON(ctx, struct {
-			Status GatewayStatus      `json:"status"`
-			Config any                `json:"config"`
-			Copy   [][]tracker.Change `json:"copy"`
-			Stacks string             `json:"stacks"`
-		}{g.Status(), g.config(), g.replicatedObjects(), string(stacks[:runtime.Stack(stacks, true)])})
+		g.reports.serve(ctx, g.dump)
 	case "/ready":
 		if !g.sources.Ready() {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -371,6 +366,17 @@
 	}
 }
 
+// dump responds with all that the entry knows, and with the stacks of its goroutines.
+func (g *Gateway) dump(ctx *fasthttp.RequestCtx) {
+	stacks := make([]byte, maxStackBytes)
+	writeJSON(ctx, struct {
+		Status GatewayStatus      `json:"status"`
+		Config any                `json:"config"`
+		Copy   [][]tracker.Change `json:"copy"`
+		Stacks string             `json:"stacks"`
+	}{g.Status(), g.config(), g.replicatedObjects(), string(stacks[:runtime.Stack(stacks, true)])})
+}
+
 // maxStackBytes bounds the goroutine stacks in a dump.
 const maxStackBytes = 256 << 10
 
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -40,6 +40,7 @@
 	sources Sources
 	metrics *Metrics
 	scrape  fasthttp.RequestHandler
+	reports reportLimiter
 }
 
 // New returns a Reporter that reads the sources and serves the metrics.
@@ -52,15 +53,15 @@
 func (r *Reporter) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/status":
-		writeJSON(ctx, r.Status())
+		r.reports.serve(ctx, func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, r.Status()) })
 	case "/dump":
-		writeJSON(ctx, r.dump())
+		r.reports.serve(ctx, func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, r.dump()) })
 	case "/ready":
 		if !r.sources.Ready() {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case "/metrics":
-		r.scrape(ctx)
+		r.reports.serve(ctx, r.scrape)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/runner/memory_test.go
+++ b/runner/memory_test.go
@@ -165,6 +165,27 @@
 	}
 }
 
+// unreadReports asks for state dumps and reads none.
+func unreadReports(g *testGateway, _ *link, wg *sync.WaitGroup, stop <-chan struct{}) {
+	for range internalMaxConns {
+		wg.Go(func() {
+			for !closed(stop) {
+				c, err := net.Dial("tcp", g.process.Ops())
+				if err != nil {
+					return
+				}
+				_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+				_, err = io.WriteString(c, "GET /dump HTTP/1.1\r\nHost: h\r\n\r\n")
+				for err == nil && !closed(stop) {
+					time.Sleep(50 * time.Millisecond)
+					_, err = c.Write(nil)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
@@ -189,6 +210,7 @@
 		"uploads in chunks":           endlessUploads("POST /sound/1 HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n"),
 		"messages of peers":           endlessMessages,
 		"responses that are not read": unreadResponses,
+		"reports that are not read":   unreadReports,
 		"short headers":               endlessHeaders(100),
 		"long headers":                endlessHeaders(16 << 10),
 	}
