platform, extender: large objects of the store arrive over slow links

What operators saw: a configuration of 0.9 MB was never in force at an entry whose path to the store carries 10 Mbit/s, as in the grown deployments.

Cause: a call had 350 ms for the whole response, a list as long for all its pages, and what is not read in that time is read again from its start. 0.44 MB arrive in it; the store takes objects of 1 MB.

Ruled out: the list in place of the watch, which is tried after two failures, needs the same time; memory (0.9 MB are within the budget).

Change: the deadline bounds the time until the store responds.

--- a/tracker/acquire.go
+++ b/tracker/acquire.go
@@ -79,7 +79,7 @@
 // listCurrent reads a stale list, which costs little, and the changes since. Nothing
 // is applied before both were read: the list may name upstreams that have left.
 func (t *Tracker) listCurrent(ctx context.Context, k Kind) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*ResponseTimeout)
 	defer cancel()
 	list, err := t.source.List(ctx, k, true)
 	if err != nil {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -23,7 +23,8 @@
 	ErrUnavailable = errors.ConstError("store gave no usable response")
 )
 
-// Source reads the store.
+// Source reads the store. The deadline of a context bounds the time until the store responds; a
+// response that has begun may take some seconds longer.
 type Source interface {
 	// List reads all objects of a kind. A stale list may be seconds old and
 	// costs less. It returns ErrUnavailable.
@@ -55,10 +56,10 @@
 	// batchDelay delays an update so that changes that arrive together are sent
 	// in one message.
 	batchDelay = 3 * time.Millisecond
-	// responseTimeout is how long a call to the store may take beyond its wait.
-	responseTimeout = 350 * time.Millisecond
+	// ResponseTimeout is how long the store may take to respond beyond the wait of a call.
+	ResponseTimeout = 350 * time.Millisecond
 	// staleAge is the age of the replica at which an entry that receives no
-	// updates reads the store itself. Together with responseTimeout it stays
+	// updates reads the store itself. Together with ResponseTimeout it stays
 	// well within the 2 s in which a change must be in force.
 	staleAge = 1050 * time.Millisecond
 	// checkInterval is how often an entry checks the age of its replica.
@@ -87,7 +88,7 @@
 
 // DetectionTime returns the time within which an entry notices a change in the store although
 // the entry that watches it has died: it waits for updates, and then reads the store itself.
-func DetectionTime() time.Duration { return queryAge + checkInterval + responseTimeout }
+func DetectionTime() time.Duration { return queryAge + checkInterval + ResponseTimeout }
 
 // Tracker keeps a State up to date.
 type Tracker struct {
@@ -384,7 +385,7 @@
 // A current list that is older than the replica was before counts as a failed read, so that
 // reads back off: the store has fallen behind.
 func (t *Tracker) list(ctx context.Context, k Kind, stale bool) error {
-	limited, cancel := context.WithTimeout(ctx, responseTimeout)
+	limited, cancel := context.WithTimeout(ctx, ResponseTimeout)
 	defer cancel()
 	fresh := time.Now()
 	before := t.state.Position(fresh, k)
@@ -407,7 +408,7 @@
 // watch waits for changes after a position and applies them. Changes of a later era don't
 // continue from the replica, even if their revisions do: all objects are then listed.
 func (t *Tracker) watch(ctx context.Context, k Kind, after Position, wait time.Duration) error {
-	limited, cancel := context.WithTimeout(ctx, wait+responseTimeout)
+	limited, cancel := context.WithTimeout(ctx, wait+ResponseTimeout)
 	defer cancel()
 	d, err := t.source.Watch(limited, k, after.AsOf, wait)
 	if errors.Is(err, ErrCompacted) || err == nil && d.Era > after.Era {
