--- a/announcer/message.go
+++ b/announcer/message.go
@@ -127,7 +127,7 @@
 		return h, errors.Annotate(ErrMalformed, "want, intro: too long")
 	}
 	for _, m := range append(h.Descriptions, h.From) {
-		if err := m.check(); err != nil {
+		if err := m.Check(); err != nil {
 			return h, err
 		}
 	}
@@ -136,7 +136,8 @@
 	return h, err
 }
 
-func (m Member) check() error {
+// Check returns ErrMalformed if the description exceeds the limits of what entries exchange.
+func (m Member) Check() error {
 	for _, s := range []string{m.Name, m.Domain, m.Region, m.Callers, m.Peers, m.Ops} {
 		if len(s) > maxText {
 			return errors.Annotate(ErrMalformed, "member: text too long")
--- a/runner/odd_registration_test.go
+++ b/runner/odd_registration_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,9 +24,14 @@
 			`{"service":"jobs","address":"127.0.0.1:-5","zone":"a","capacity":3,"phase":"ready"}`,
 			`null`, `"odd"`, `7`,
 		},
+		"large values": large(24, func(text string) string { return `{"service":"jobs","x":"` + text + `"}` }),
+		"large fields": large(4, func(text string) string {
+			return `{"service":"jobs","address":"127.0.0.1:1","zone":"` + text + `","capacity":3,"phase":"draining"}`
+		}),
+		"long domain of an entry": {`{"name":"odd0","domain":"` + strings.Repeat("x", 200) + `","callers":"127.0.0.1:1","peers":"127.0.0.1:1","ops":"127.0.0.1:1"}`},
 	}
 	for _, kind := range []string{"servers", "entries", "config"} {
-		for _, name := range []string{"nested list", "nested object", "numbers and ports"} {
+		for _, name := range slices.Sorted(maps.Keys(odd)) {
 			for _, before := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s/%s/before=%v", kind, name, before), func(t *testing.T) {
 					t.Parallel()
@@ -49,6 +56,11 @@
 	}
 }
 
+// large returns n objects with a text of about as many bytes as the store takes.
+func large(n int, object func(text string) string) []string {
+	return slices.Repeat([]string{object(strings.Repeat("x", 1<<20-200))}, n)
+}
+
 // awaitUse waits until each entry has an upstream.
 func (s *limitEnv) awaitUse(id string) {
 	s.t.Helper()
