forwarder, runner: an older configuration never replaces a newer one

Cause: the version was compared before the table was built, and stored afterwards.

Change: Configure compares and swaps, and reports whether it did.

--- a/forwarder/fault_test.go
+++ b/forwarder/fault_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	_ "poplarwind/internal/seeder"
+	"poplarwind/router"
 )
 
 // checkResponse checks the invariants that every response must satisfy under any
@@ -229,3 +232,36 @@
 		})
 	}
 }
+
+// TestOlderConfigurationInForceLast configures versions by several tasks at the same time, as the task
+// that follows the store and requests that match no route do. The version in force must never fall.
+func TestOlderConfigurationInForceLast(t *testing.T) {
+	f := New(Options{Dialect: testDialect{}})
+	const versions = 2000
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for {
+				v := next.Add(1)
+				if v > versions {
+					return
+				}
+				table, err := router.NewTable(router.Spec{Version: v}, f.Table())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				f.Configure(table)
+				if got := f.Table().Version(); got < v {
+					t.Errorf("got: version %d in force want: at least %d", got, v)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got := f.Table().Version(); got != versions {
+		t.Errorf("got: version %d in force at the end want: %d", got, versions)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -156,8 +156,19 @@
 	return f
 }
 
-// Configure replaces the configuration.
-func (f *Forwarder) Configure(t *router.Table) { f.table.Store(t) }
+// Configure replaces the configuration unless the one in force has the same version or a higher
+// one, and reports whether it did. Several tasks may have read the configuration at different times.
+func (f *Forwarder) Configure(t *router.Table) bool {
+	for {
+		old := f.table.Load()
+		if old != nil && old.Version() >= t.Version() {
+			return false
+		}
+		if f.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
 
 // Table returns the current configuration, or nil.
 func (f *Forwarder) Table() *router.Table { return f.table.Load() }
--- a/runner/apply.go
+++ b/runner/apply.go
@@ -44,7 +44,9 @@
 			g.log.Warn("configuration refused", "version", c.Config.Version, "rev", c.Revision, "error", err.Error())
 			continue
 		}
-		g.forwarder.Configure(t)
+		if !g.forwarder.Configure(t) {
+			continue
+		}
 		g.log.Info("configuration in force", "version", t.Version(), "rev", c.Revision, "routes", len(c.Config.Routes))
 	}
 }
