forwarder: dials that fail for want of descriptors don't count against upstreams

What callers saw: while a machine had no descriptor left, upstreams that were as well as before were ejected and got no requests for seconds afterwards.

Cause: each failed dial counted as a failure of the upstream: in rounds of load probes in which another one responds, for the entry's own reach, and, by reading, as proof that the process of an upstream has crashed.

Change: dials that fail with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL say nothing of the upstream.

--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -132,7 +132,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		c, err := x.forwarder.pool.NewConn(ctx, u.Addr(), x.connLimit())
 		cancel()
-		if errors.Is(err, pooler.ErrConnLimit) {
+		if errors.Is(err, pooler.ErrConnLimit) || isLocal(err) {
 			return true
 		}
 		if err == nil && x.service.barred(u) {
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -65,11 +65,13 @@
 // upstream if another upstream responds in the same round, or if it was the
 // only one probed. If all of several probes fail, the likely cause is a delay
 // or a lost connection of this entry, and counting the failures would eject
-// healthy upstreams. The lock must be held.
+// healthy upstreams. Nor does a probe count that was not sent for want of resources of this
+// machine. The lock must be held.
 func (r *probeRound) recordResult(cand candidate) {
-	if cand.responded() {
+	switch {
+	case cand.responded():
 		r.responded++
-	} else {
+	case !isLocal(cand.err):
 		r.failed = append(r.failed, cand.upstream)
 	}
 	if r.responded == 0 && r.sent > 1 {
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +22,14 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// localFaults holds the errors of a dial that has failed for want of resources of this machine.
+var localFaults = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+// isLocal reports whether a dial has failed for a reason that says nothing of the upstream.
+func isLocal(err error) bool {
+	return slices.ContainsFunc(localFaults, func(fault error) bool { return errors.Is(err, fault) })
+}
+
 // serviceKey is the key of the *service to whose upstreams a connection is opened, in the
 // context of the dial.
 type serviceKey struct{}
@@ -35,7 +44,7 @@
 	start := time.Now()
 	c, err := f.options.Dial(ctx, addr)
 	now := time.Now()
-	if err == nil || ctx.Err() == nil || now.Sub(start) >= minDialTime {
+	if err == nil || !isLocal(err) && (ctx.Err() == nil || now.Sub(start) >= minDialTime) {
 		f.options.Reach.RecordDial(now, addr, err == nil)
 		if s, ok := ctx.Value(serviceKey{}).(*service); ok {
 			s.reach.RecordDial(now, addr, err == nil)
@@ -74,9 +83,9 @@
 }
 
 // recordReach records whether an upstream responded to a load probe. One that could not be
-// sent for want of a connection says nothing.
+// sent for want of a connection or of resources of this machine says nothing.
 func (x *exchange) recordReach(cand candidate) {
-	if !errors.Is(cand.err, pooler.ErrConnLimit) {
+	if !errors.Is(cand.err, pooler.ErrConnLimit) && !isLocal(cand.err) {
 		now, addr, ok := time.Now(), cand.upstream.Addr(), cand.responded()
 		x.forwarder.options.Reach.RecordProbe(now, addr, ok)
 		x.service.reach.RecordProbe(now, addr, ok)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -51,7 +51,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), isLocal(o.err):
 		return placer.Abandoned
 	default:
 		return placer.Failed
