tracker, runner: a second change does not hide since when upstreams may be gone

Cause: the replica kept since when the objects before its last change were certain. A second change within the time until the first is applied replaced that by the time of the first.

Change: State.Take returns the objects together with the time of those that it returned before. TestAgeOfRemovedObjects asked for that of the last change; it asks now for that since the last Take, with one more change between, and for what the first and a repeated Take return.

--- a/runner/apply.go
+++ b/runner/apply.go
@@ -56,14 +56,14 @@
 // lease expiry, the zero time if there is none.
 func (g *Gateway) applyUpstreams() time.Time {
 	now := time.Now()
-	list, position := g.state.SinceAt(now, tracker.Upstreams, 0, 0)
+	list, confirmed := g.state.Take(now, tracker.Upstreams)
 	listed := make(map[string]tracker.ListedUpstream)
 	for _, c := range list.Changes {
 		if c.Upstream != nil {
 			listed[c.Name] = tracker.ListedUpstream{Spec: *c.Upstream, Revision: c.Revision}
 		}
 	}
-	active, recheckAt := g.expiry.Apply(now, now.Add(-position.AgeBefore), position.Era, listed)
+	active, recheckAt := g.expiry.Apply(now, confirmed, list.Era, listed)
 	for id := range g.active {
 		if _, ok := active[id]; !ok {
 			g.forwarder.RemoveUpstream(id)
--- a/tracker/restore_test.go
+++ b/tracker/restore_test.go
@@ -195,22 +195,37 @@
 	})
 }
 
-// TestAgeOfRemovedObjects checks the age of the objects before their last change: a removal
-// that is noticed late may have happened as soon as they were last certain to exist.
+// TestAgeOfRemovedObjects checks since when the objects that Take has returned may have changed: a
+// removal that is noticed late may have happened as soon as they were last certain to exist, whatever
+// changes behind it before they are taken again.
 func TestAgeOfRemovedObjects(t *testing.T) {
 	var s State
 	start := time.Unix(1000, 0)
-	upstream := Change{Name: "u", Revision: 1, Upstream: &placer.Spec{ID: "u"}}
-	if _, err := s.Apply(start, Delta{Kind: Upstreams, Era: 1, AsOf: 1, Snapshot: true, Changes: []Change{upstream}}); err != nil {
-		t.Fatal(err)
+	apply := func(after time.Duration, d Delta) {
+		t.Helper()
+		d.Kind, d.Era = Upstreams, 1
+		if _, err := s.Apply(start.Add(after), d); err != nil {
+			t.Fatal(err)
+		}
 	}
-	s.ConfirmFresh(start.Add(time.Second), Upstreams, 1, 1)
-	if _, err := s.Apply(start.Add(2500*time.Millisecond), Delta{Kind: Upstreams, Era: 1, After: 1, AsOf: 2, Changes: []Change{{Name: "u", Removed: true}}}); err != nil {
-		t.Fatal(err)
+	take := func(after, want time.Duration, objects int) {
+		t.Helper()
+		now := start.Add(after)
+		d, confirmed := s.Take(now, Upstreams)
+		if got := now.Sub(confirmed); got != want || len(d.Changes) != objects {
+			t.Errorf("after %v: got: %d objects, before %v want: %d, %v", after, len(d.Changes), got, objects, want)
+		}
 	}
-	s.ConfirmFresh(start.Add(3*time.Second), Upstreams, 1, 2)
-	p := s.Position(start.Add(3*time.Second), Upstreams)
-	if p.Age != 0 || p.AgeBefore != 2*time.Second {
-		t.Errorf("got: age %v, before %v want: 0, 2 s", p.Age, p.AgeBefore)
+	apply(0, Delta{AsOf: 1, Snapshot: true, Changes: []Change{{Name: "u", Revision: 1, Upstream: &placer.Spec{ID: "u"}}}})
+	take(0, maxAge, 1)
+	take(500*time.Millisecond, 0, 1)
+	s.ConfirmFresh(start.Add(time.Second), Upstreams, 1, 1)
+	apply(2500*time.Millisecond, Delta{After: 1, AsOf: 2, Changes: []Change{{Name: "u", Removed: true}}})
+	apply(2505*time.Millisecond, Delta{After: 2, AsOf: 3, Changes: []Change{{Name: "v", Revision: 3, Upstream: &placer.Spec{ID: "v"}}}})
+	s.ConfirmFresh(start.Add(3*time.Second), Upstreams, 1, 3)
+	if got := s.Position(start.Add(3*time.Second), Upstreams).Age; got != 0 {
+		t.Errorf("got: age %v want: 0", got)
 	}
+	take(3*time.Second, 2*time.Second, 1)
+	take(3*time.Second, 0, 1)
 }
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -72,9 +72,10 @@
 	// first delta.
 	asOf uint64
 	// fresh is the last time at which the items are certain to have been the
-	// store's newest, and freshBefore the last time at which those before the last
-	// change were.
+	// store's newest, and freshBefore the last time at which those were that Take
+	// returned last. It is valid if changed is set: the items have changed since.
 	fresh, freshBefore time.Time
+	changed            bool
 	// log holds the last deltas. Each starts at the revision at which the one
 	// before it ends, and holds the objects that did not change again later.
 	log []Delta
@@ -245,7 +246,9 @@
 		}
 	}
 	if len(changes) > 0 {
-		r.freshBefore = r.fresh
+		if !r.changed {
+			r.freshBefore, r.changed = r.fresh, true
+		}
 		r.dropSuperseded(changes)
 		r.log = append(r.log, Delta{Kind: d.Kind, Era: r.era, After: r.asOf, AsOf: d.AsOf, Changes: changes})
 		r.log = r.log[max(0, len(r.log)-maxLog):]
@@ -286,6 +289,21 @@
 	return s.since(k, era, after), s.kinds[k].position(now)
 }
 
+// Take returns all objects of a kind as a snapshot, and the last time at which those that it has
+// returned before are certain to have been the store's newest, now if they still are. Several changes
+// may have come since then. It is for one task.
+func (s *State) Take(now time.Time, k Kind) (d Delta, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &s.kinds[k]
+	confirmed = now
+	if r.changed {
+		confirmed = now.Add(-ageAt(now, r.freshBefore))
+	}
+	r.changed = false
+	return s.since(k, 0, 0), confirmed
+}
+
 // since implements Since. The lock must be held.
 func (s *State) since(k Kind, era, after uint64) Delta {
 	r := &s.kinds[k]
@@ -325,10 +343,6 @@
 	// Age is the time since the revision was last certain to be the store's
 	// newest, at most maxAge.
 	Age time.Duration `json:"age"`
-	// AgeBefore is the age of the objects before their last change: the time since
-	// they were last certain to be the store's newest, at most maxAge. It is not sent to
-	// other entries.
-	AgeBefore time.Duration `json:"-"`
 }
 
 // maxAge bounds ages, including that of a replica that was never certain to be the
@@ -345,7 +359,7 @@
 func (p Position) valid() bool { return p.Age >= 0 && p.Age <= maxAge }
 
 func (r *replica) position(now time.Time) Position {
-	return Position{Era: r.era, AsOf: r.asOf, Age: ageAt(now, r.fresh), AgeBefore: ageAt(now, r.freshBefore)}
+	return Position{Era: r.era, AsOf: r.asOf, Age: ageAt(now, r.fresh)}
 }
 
 // ageAt returns the time since t, from 0 to maxAge.
