tracker: entries that lag share the encoding of a reply

What happened: 120 entries that had missed versions of a configuration of 1,424 routes and asked for it at the same time cost the entry that they asked 18.7 to 31.9 MB, beside the budget for messages; 1.3 MB for one.

Cause: only replies to entries without a replica shared an encoding. What an entry that lags needs is the newest state too, and each reply with it was encoded by itself.

--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -119,39 +119,49 @@
 type snapshotReply struct {
 	mu   sync.Mutex
 	body announcer.Packed
-	// madeAt is when the reply was encoded.
-	madeAt time.Time
+	// madeAt is when the reply was encoded, and position where it leads.
+	madeAt   time.Time
+	position Position
 }
 
 // snapshotReplyTTL is how long an encoded snapshot is reused: many entries may start
 // at the same time. The reply states an age that is greater by this time.
 const snapshotReplyTTL = 100 * time.Millisecond
 
-// reply returns the reply to a query of another entry: a Reply, or its encoding.
+// reply returns the reply to a query of another entry: a Reply, or its encoding. If more than half
+// of the objects have changed, it is a snapshot, whose encoding many entries share.
 func (t *Tracker) reply(q Query) (any, error) {
 	if q.Kind < 0 || q.Kind >= Kinds {
 		return nil, errors.NotValidf("kind %d", int(q.Kind))
 	}
-	if q.After > 0 && q.Era == t.state.Position(time.Now(), q.Kind).Era {
-		d, position := t.state.SinceAt(time.Now(), q.Kind, q.Era, q.After)
+	now := time.Now()
+	d, position := t.state.SinceAt(now, q.Kind, q.Era, q.After)
+	if !d.Snapshot && 2*len(d.Changes) <= t.state.Len(q.Kind) {
 		return Reply{Position: position, Delta: d}, nil
 	}
 	s := &t.replies[q.Kind]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	if s.body != nil && now.Sub(s.madeAt) < snapshotReplyTTL {
+	newest := s.position.Era == position.Era && s.position.AsOf == position.AsOf
+	if s.body != nil && now.Sub(s.madeAt) < snapshotReplyTTL && (newest || q.After == 0) {
 		return s.body, nil
 	}
+	return s.encode(t.state, q.Kind)
+}
+
+// encode encodes a reply with a snapshot. The lock must be held.
+func (s *snapshotReply) encode(state *State, k Kind) (announcer.Packed, error) {
 	var r Reply
-	r.Delta, r.Position = t.state.SinceAt(now, q.Kind, 0, 0)
+	now := time.Now()
+	r.Delta, r.Position = state.SinceAt(now, k, 0, 0)
+	position := r.Position
 	r.Position.Age = min(r.Position.Age+snapshotReplyTTL, maxAge)
 	body, err := announcer.Pack(r)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if r.Position.AsOf > 0 {
-		s.body, s.madeAt = body, now
+	if position.AsOf > 0 {
+		s.body, s.madeAt, s.position = body, now, position
 	}
 	return body, nil
 }
--- a/tracker/lag_test.go
+++ b/tracker/lag_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,3 +147,101 @@
 		}
 	})
 }
+
+// TestReplyMemoryGrowsWithQueries has 120 entries that have missed versions of a configuration of
+// 1,424 routes ask for the newest one at the same time. The memory for the replies must not grow with
+// their number as if each were encoded by itself.
+func TestReplyMemoryGrowsWithQueries(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(20))
+	const versions, routes = 50, 1424
+	s := &State{}
+	start := time.Now()
+	for v := uint64(1); v <= versions; v++ {
+		c := Change{Name: "main", Revision: v, Config: largeConfig(int64(v), routes)}
+		if _, err := s.Apply(start, Delta{Kind: Configs, Era: 1, After: v - 1, AsOf: v, Snapshot: v == 1, Changes: []Change{c}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tr := New(s, nil, noPeers{}, "a", func() []announcer.Member { return nil }, slog.New(slog.DiscardHandler))
+	peak := func(queries int) float64 {
+		runtime.GC()
+		var before, now runtime.MemStats
+		runtime.ReadMemStats(&before)
+		var wg sync.WaitGroup
+		var done atomic.Bool
+		replies := make([][]byte, queries)
+		for i := range queries {
+			wg.Go(func() {
+				q := Query{Kind: Configs, Era: 1, After: uint64(1 + i%(versions-1))}
+				body, err := json.Marshal(q)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				reply, err := tr.Serve(t.Context(), PathState, body)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if replies[i], err = announcer.Pack(reply); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		go func() {
+			wg.Wait()
+			done.Store(true)
+		}()
+		highest := 0.0
+		for !done.Load() {
+			runtime.ReadMemStats(&now)
+			highest = max(highest, float64(now.HeapAlloc)-float64(before.HeapAlloc))
+		}
+		runtime.KeepAlive(replies)
+		t.Logf("%d queries: peak of %.1f MB, %d bytes a reply", queries, highest/1e6, len(replies[0]))
+		return highest
+	}
+	one, many := peak(1), peak(120)
+	if many > 12*one {
+		t.Errorf("got: %.1f MB for 120 queries want: at most 12 times the %.1f MB for one", many/1e6, one/1e6)
+	}
+}
+
+// TestTimeToCatchUp cuts an entry off from the store and from all others while the configuration
+// changes. Once it is in touch again, it must have the newest version as soon after many missed versions
+// as after one.
+func TestTimeToCatchUp(t *testing.T) {
+	const inTouch = 3 * time.Second
+	for _, missed := range []int{1, 10, 100, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			c := startCluster(ctx, 9)
+			time.Sleep(6 * time.Second)
+			set := func(cut bool) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.store.mu.Lock()
+				defer c.store.mu.Unlock()
+				c.partitioned["e05"], c.store.hangs["e05"] = cut, cut
+			}
+			set(true)
+			var want uint64
+			for range missed {
+				want = c.store.write()
+				time.Sleep(5 * time.Second / time.Duration(missed))
+			}
+			set(false)
+			healed := time.Now()
+			for c.version("e05") != int64(want) && time.Since(healed) < 2*inTouch {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took := time.Since(healed)
+			t.Logf("%d missed: caught up after %v", missed, took)
+			if took > inTouch {
+				t.Errorf("%d missed: got: %v want: at most %v", missed, took, inTouch)
+			}
+			cancel()
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -396,6 +396,13 @@
 	return true, newer
 }
 
+// Len returns the number of objects of a kind.
+func (s *State) Len(k Kind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.kinds[k].items)
+}
+
 // All returns the objects of a kind in order of name.
 func (s *State) All(k Kind) []Change {
 	s.mu.Lock()
