pipeliner, runner: the configuration's limits for headers are in force

What operators saw: max_header_bytes and header_timeout_ms were accepted and had no effect; a body beyond max_body_bytes was received whole, up to 64 MiB, before it was rejected.

Cause: pipeliner was given the limits of the process's settings alone.

Change: pipeliner asks for the limits in force at each request: 431 for long header fields, 408 for slow headers, 413 by the length before a body is read.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -189,7 +189,6 @@
 			return nil, errors.Annotate(err, "waiting for a request")
 		}
 	}
-	_ = c.net.SetReadDeadline(time.Now().Add(transferTimeout))
 	r := c.server.readers.Get().(*bufio.Reader)
 	r.Reset(&prefixedReader{prefix: first[:], rest: c.net})
 	return r, nil
@@ -240,13 +239,32 @@
 	headerCopies = 3
 )
 
-// read reads a request. It returns the reader for the next one.
+// read reads a request within the limits of the configuration. It returns the reader for the next
+// one.
 func (c *conn) read(r *bufio.Reader, p *pendingCall) (*bufio.Reader, error) {
+	limits, start := c.server.options.Limits(), time.Now()
+	headerTimeout := transferTimeout
+	if t := limits.HeaderTimeout; t > 0 {
+		headerTimeout = min(headerTimeout, t)
+	}
+	_ = c.net.SetReadDeadline(start.Add(headerTimeout))
 	r, err := c.readHeader(r, p.Request)
-	if err == nil {
-		r, err = c.readBody(r, p)
+	if err != nil {
+		return r, err
+	}
+	if n := len(p.Request.Header.RawHeaders()); limits.Header > 0 && n > limits.Header {
+		return r, errors.Annotatef(errHeaderTooLarge, "%d bytes, limit %d", n, limits.Header)
+	}
+	_ = c.net.SetReadDeadline(start.Add(transferTimeout))
+	return c.readBody(r, p, bodyLimit(c.server.options.MaxBody, limits.Body))
+}
+
+// bodyLimit returns the lower of two limits in bytes, of which 0 means none.
+func bodyLimit(a, b int) int {
+	if a == 0 || b > 0 && b < a {
+		return b
 	}
-	return r, err
+	return a
 }
 
 // readHeader reads the header of a request and returns the reader for what follows.
@@ -281,8 +299,9 @@
 	return r, read(r)
 }
 
-// readBody reads the body of a request, and returns the reader for what follows.
-func (c *conn) readBody(r *bufio.Reader, p *pendingCall) (*bufio.Reader, error) {
+// readBody reads the body of a request of at most limit bytes, 0 meaning that it is not limited. It
+// returns the reader for what follows.
+func (c *conn) readBody(r *bufio.Reader, p *pendingCall, limit int) (*bufio.Reader, error) {
 	budget := c.server.options.Budget
 	p.Body = budget.NewBody(bufferer.Requests, c.interruptRead)
 	if err := p.Body.Reserve(callOverhead + headerCopies*len(p.Request.Header.RawHeaders())); err != nil {
@@ -294,7 +313,7 @@
 		}
 	}
 	inChunks := p.Request.Header.ContentLength() == chunked
-	if err := readBody(r, p.Request, p.Body, c.server.options.MaxBody); err != nil {
+	if err := readBody(r, p.Request, p.Body, limit); err != nil {
 		return r, err
 	}
 	if inChunks {
--- a/pipeliner/conn_test.go
+++ b/pipeliner/conn_test.go
@@ -21,6 +21,7 @@
 
 	"poplarwind/bufferer"
 	_ "poplarwind/internal/seeder"
+	"poplarwind/router"
 )
 
 const (
@@ -147,6 +148,55 @@
 	})
 }
 
+// TestConfiguredLimitsIgnored sends requests within and beyond the limits of the configuration. Those
+// beyond must be rejected, slow headers when their time is over, and the others be served.
+func TestConfiguredLimitsIgnored(t *testing.T) {
+	limits := router.Limits{Header: 1000, Body: 2000, HeaderTimeout: 3 * time.Second}
+	request := func(header, body int) string {
+		return fmt.Sprintf("POST /safe/0/r HTTP/1.1\r\nHost: h\r\nX-Long: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("x", header), body, strings.Repeat("y", body))
+	}
+	for _, tc := range []struct {
+		name, text string
+		// pause is the time between two bytes.
+		pause time.Duration
+		want  int
+		took  time.Duration
+	}{
+		{"within the limits", request(800, 2000), 0, 200, 0},
+		{"long header", request(1100, 0), 0, 431, 0},
+		{"long body", request(100, 2001), 0, 413, 0},
+		{"long body in chunks", "POST /safe/0/r HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n9c4\r\n" + strings.Repeat("y", 2500) + "\r\n0\r\n\r\n", 0, 413, 0},
+		{"slow header", request(800, 0), 10 * time.Millisecond, 408, 3 * time.Second},
+		{"slow body", request(50, 500), 10 * time.Millisecond, 200, 6160 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Options{
+					Handler: newTestHandler(), MaxHeader: testMaxHeader, MaxBody: testMaxBody, MaxConns: 1, Limits: func() router.Limits { return limits },
+					IdleTimeout: func() time.Duration { return testIdle }, Log: slog.New(slog.DiscardHandler),
+				})
+				caller, entry := net.Pipe()
+				go s.ServeConn(entry)
+				start := time.Now()
+				go func() {
+					for _, b := range []byte(tc.text) {
+						if _, err := caller.Write([]byte{b}); err != nil {
+							return
+						}
+						time.Sleep(tc.pause)
+					}
+				}()
+				var resp fasthttp.Response
+				if err := resp.Read(bufio.NewReader(caller)); err != nil || resp.StatusCode() != tc.want || time.Since(start).Round(100*time.Millisecond) != tc.took.Round(100*time.Millisecond) {
+					t.Errorf("got: %d, %v after %v want: %d after %v", resp.StatusCode(), err, time.Since(start), tc.want, tc.took)
+				}
+				_ = caller.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // TestPendingBound sends more requests at once than a connection may have pending
 // while the first one runs: the rest stays unread.
 func TestPendingBound(t *testing.T) {
--- a/pipeliner/request.go
+++ b/pipeliner/request.go
@@ -17,6 +17,9 @@
 // package, and take a part of the body for a request.
 const ErrConflictingLengths = errors.ConstError("Content-Length and Transfer-Encoding conflict")
 
+// errHeaderTooLarge reports a request whose header exceeds the configured limit.
+const errHeaderTooLarge = errors.ConstError("header is too large")
+
 // readHeader reads the header of a request.
 func readHeader(r *bufio.Reader, req *fasthttp.Request) error {
 	if err := req.Header.Read(r); err != nil {
@@ -103,7 +106,7 @@
 		status = fasthttp.StatusRequestTimeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &headerErr):
+	case errors.As(err, &headerErr), errors.Is(err, errHeaderTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	resp.Reset()
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -16,6 +16,7 @@
 
 	"poplarwind/bufferer"
 	"poplarwind/internal/acceptor"
+	"poplarwind/router"
 )
 
 // Options configures a Server.
@@ -24,6 +25,9 @@
 	Handler Handler
 	// MaxHeader and MaxBody bound the sizes of a request in bytes.
 	MaxHeader, MaxBody int
+	// Limits returns the limits that the configuration in force sets. Those of the header and
+	// of the body are at most MaxHeader and MaxBody. Nil means that it sets none.
+	Limits func() router.Limits
 	// Budget bounds the memory of requests and responses. Nil means that it has no bound.
 	Budget *bufferer.Budget
 	// MaxConns bounds the open connections.
@@ -64,6 +68,9 @@
 
 // New returns a Server.
 func New(o Options) *Server {
+	if o.Limits == nil {
+		o.Limits = func() router.Limits { return router.Limits{} }
+	}
 	if o.Budget == nil {
 		o.Budget = &bufferer.Budget{}
 	}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -25,6 +25,7 @@
 	"poplarwind/quarantiner"
 	"poplarwind/reacher"
 	"poplarwind/reporter"
+	"poplarwind/router"
 	"poplarwind/storer"
 	"poplarwind/tracker"
 	"poplarwind/watcher"
@@ -146,7 +147,7 @@
 	})
 	g.callers = pipeliner.New(pipeliner.Options{
 		Handler: g.forwarder, MaxHeader: p.MaxHeaderBytes(), MaxBody: p.MaxBodyBytes(), Budget: budget, MaxConns: limits.callers,
-		IdleTimeout: g.callerIdleTimeout, Log: log,
+		IdleTimeout: g.callerIdleTimeout, Limits: g.callerLimits, Log: log,
 	})
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
@@ -214,11 +215,19 @@
 	return l, errors.Annotatef(err, "listening at %s", address)
 }
 
+// callerLimits returns the limits for callers that the configuration in force sets.
+func (g *Gateway) callerLimits() router.Limits {
+	if t := g.forwarder.Table(); t != nil {
+		return t.Limits()
+	}
+	return router.Limits{}
+}
+
 // callerIdleTimeout returns the idle timeout of callers' connections, which the
 // configuration in force may set.
 func (g *Gateway) callerIdleTimeout() time.Duration {
-	if t := g.forwarder.Table(); t != nil && t.Limits().IdleTimeout > 0 {
-		return t.Limits().IdleTimeout
+	if t := g.callerLimits().IdleTimeout; t > 0 {
+		return t
 	}
 	return gatewayIdleTimeout
 }
