poplarctl, announcer: entries state their build and level, and are shown with it

What operators saw: docs/OPERATIONS.md told them to wait until "poplarctl entries" shows all entries of an upgrade; there was no such command, and nothing showed which build an entry runs.

Change: an entry announces the commit of its program and the level of its messages, writes them to /status and the line of its start, and poplarctl entries shows them, with a line for mixed builds; -wait waits until all are ready and see each other.

--- a/announcer/message.go
+++ b/announcer/message.go
@@ -12,6 +12,10 @@
 	"poplarwind/storer"
 )
 
+// Level is the level of the messages that this build understands. It rises with a message or a
+// field that others may send only to entries that understand it.
+const Level = 1
+
 // ErrMalformed reports a peer message that is malformed or exceeds a limit.
 const ErrMalformed = errors.ConstError("malformed message of a peer")
 
@@ -138,7 +142,7 @@
 
 // Check returns ErrMalformed if the description exceeds the limits of what entries exchange.
 func (m Member) Check() error {
-	for _, s := range []string{m.Name, m.Domain, m.Region, m.Callers, m.Peers, m.Ops} {
+	for _, s := range []string{m.Name, m.Domain, m.Region, m.Callers, m.Peers, m.Ops, m.Build} {
 		if len(s) > maxText {
 			return errors.Annotate(ErrMalformed, "member: text too long")
 		}
--- a/announcer/table.go
+++ b/announcer/table.go
@@ -26,6 +26,10 @@
 	Rates []Rate `json:"rates,omitempty"`
 	// DrainMarks holds the servers that the entry recently found to be draining.
 	DrainMarks []DrainMark `json:"marks,omitempty"`
+	// Build is the commit of the entry's program, and Level the level of the messages that it
+	// understands. They are empty and 0 in builds from before levels.
+	Build string `json:"build,omitempty"`
+	Level int    `json:"level,omitempty"`
 	// Capacity is the entry's capacity in requests a second, 0 if not reported.
 	Capacity float64 `json:"power,omitempty"`
 	// Ready reports whether the entry serves callers, and Load is the rate of
--- a/cmd/poplarctl/entries.go
+++ b/cmd/poplarctl/entries.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/announcer"
 	"poplarwind/internal/sleeper"
 	"poplarwind/reporter"
 )
@@ -45,32 +46,53 @@
 	return out, nil
 }
 
+// described is the status of an entry that names the entry and the members that it knows.
+type described interface {
+	reporter.Status | reporter.GatewayStatus
+}
+
 // clusterStatus holds the status of every entry that responded, by name, and the
 // names of the live entries that did not.
-type clusterStatus struct {
-	statuses     map[string]reporter.Status
+type clusterStatus[S described] struct {
+	statuses     map[string]S
 	unresponsive []string
 }
 
+// describe returns the name of an entry and the members that it knows.
+func describe(status any) (name string, members []announcer.Status) {
+	switch s := status.(type) {
+	case reporter.Status:
+		return s.Name, s.Members
+	case reporter.GatewayStatus:
+		return s.Entry, s.Members
+	}
+	return "", nil
+}
+
 // collectStatus queries the seed addresses and then, repeatedly, every live
 // member that a responding entry lists.
-func (t *tool) collectStatus(ctx context.Context) (clusterStatus, error) {
+func (t *tool) collectStatus(ctx context.Context) (clusterStatus[reporter.Status], error) {
 	addrs, err := t.seedAddresses(ctx)
 	if err != nil {
-		return clusterStatus{}, err
+		return clusterStatus[reporter.Status]{}, err
 	}
-	s := clusterStatus{statuses: make(map[string]reporter.Status)}
+	return collect[reporter.Status](addrs)
+}
+
+// collect queries the addresses and then, repeatedly, every live member that a responding entry
+// lists.
+func collect[S described](addrs []string) (clusterStatus[S], error) {
+	s := clusterStatus[S]{statuses: make(map[string]S)}
 	queried := make(map[string]bool)
 	for len(addrs) > 0 {
-		for _, st := range fetchStatuses(addrs, queried) {
-			s.statuses[st.Name] = st
+		for _, st := range fetchStatuses[S](addrs, queried) {
+			name, _ := describe(st)
+			s.statuses[name] = st
 		}
 		addrs = addrs[:0:0]
-		for _, st := range s.statuses {
-			for _, m := range st.Members {
-				if m.Live && !queried[m.Member.Ops] {
-					addrs = append(addrs, m.Member.Ops)
-				}
+		for _, m := range s.liveMembers() {
+			if !queried[m.Ops] {
+				addrs = append(addrs, m.Ops)
 			}
 		}
 	}
@@ -78,30 +100,42 @@
 		return s, errNoEntry
 	}
 	unresponsive := make(map[string]bool)
-	for _, st := range s.statuses {
-		for _, m := range st.Members {
-			if _, ok := s.statuses[m.Member.Name]; !ok && m.Live {
-				unresponsive[m.Member.Name] = true
-			}
+	for _, m := range s.liveMembers() {
+		if _, ok := s.statuses[m.Name]; !ok {
+			unresponsive[m.Name] = true
 		}
 	}
 	s.unresponsive = slices.Sorted(maps.Keys(unresponsive))
 	return s, nil
 }
 
+// liveMembers returns the members that any of the entries takes for live, with repetitions.
+func (s clusterStatus[S]) liveMembers() []announcer.Member {
+	var out []announcer.Member
+	for _, st := range s.statuses {
+		_, members := describe(st)
+		for _, m := range members {
+			if m.Live {
+				out = append(out, m.Member)
+			}
+		}
+	}
+	return out
+}
+
 // fetchStatuses queries several entries in parallel, skips addresses that are
 // in queried, and adds the others to it. Entries that fail are left out.
-func fetchStatuses(addrs []string, queried map[string]bool) []reporter.Status {
+func fetchStatuses[S described](addrs []string, queried map[string]bool) []S {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	var out []reporter.Status
+	var out []S
 	for _, a := range addrs {
 		if queried[a] {
 			continue
 		}
 		queried[a] = true
 		wg.Go(func() {
-			var s reporter.Status
+			var s S
 			if getJSON(a, "/status", &s) == nil {
 				mu.Lock()
 				defer mu.Unlock()
@@ -192,7 +226,7 @@
 	return errors.Trace(w.Flush())
 }
 
-func writeEntriesTable(w *tabwriter.Writer, s clusterStatus, names []string) {
+func writeEntriesTable(w *tabwriter.Writer, s clusterStatus[reporter.Status], names []string) {
 	fmt.Fprintln(w, "ENTRY\tDOMAIN\tSTATE\tUPTIME\tSTORE AGE\tLIVE PEERS\tPEER KB SENT")
 	for _, n := range names {
 		st := s.statuses[n]
@@ -221,7 +255,7 @@
 	}
 }
 
-func writeSettingsTable(w *tabwriter.Writer, s clusterStatus, names []string) {
+func writeSettingsTable(w *tabwriter.Writer, s clusterStatus[reporter.Status], names []string) {
 	type row struct {
 		low, high uint64
 		entries   int
@@ -253,7 +287,7 @@
 	}
 }
 
-func writeServicesTable(w *tabwriter.Writer, s clusterStatus, names []string) {
+func writeServicesTable(w *tabwriter.Writer, s clusterStatus[reporter.Status], names []string) {
 	sums := make(map[string]*reporter.ServiceStatus)
 	for _, n := range names {
 		for _, v := range s.statuses[n].Services {
@@ -309,7 +343,7 @@
 	return errors.Trace(err)
 }
 
-func opsAddress(s clusterStatus, name string) string {
+func opsAddress(s clusterStatus[reporter.Status], name string) string {
 	for _, st := range s.statuses {
 		for _, m := range st.Members {
 			if m.Member.Name == name {
--- a/cmd/poplarctl/main.go
+++ b/cmd/poplarctl/main.go
@@ -65,6 +65,9 @@
 	}},
 	{"history", "PATH", "list the versions of a path", (*tool).history, nil},
 	{"status", "", "show entries, services and settings in force", (*tool).status, nil},
+	{"entries", "", "show the entries on the users' platform, their builds and what they know; needs -entries", (*tool).entries, func(t *tool, f *flag.FlagSet) {
+		f.BoolVar(&t.wait, "wait", false, "wait until all entries are ready and see each other")
+	}},
 	{"claim", "PATH KEY", "tell whether the call with an idempotency key ran", (*tool).claim, nil},
 	{"why", "ID", "print the lines of a log on standard input that led to a request's end", (*tool).why, nil},
 	{"dump", "ENTRY", "print the whole state of one entry, by name or operators' address", (*tool).dump, nil},
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -22,6 +22,7 @@
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/internal/acceptor"
+	"poplarwind/internal/versioner"
 	"poplarwind/pipeliner"
 	"poplarwind/quarantiner"
 	"poplarwind/reacher"
@@ -305,6 +306,10 @@
 // GatewayStatus is the state of an entry on the users' platform.
 type GatewayStatus struct {
 	Entry string `json:"entry"`
+	// Build is the commit of the program, and Level the level of the messages that it
+	// understands.
+	Build string `json:"build"`
+	Level int    `json:"level"`
 	Ready bool   `json:"ready"`
 	// Cut is set while the entry is cut off from the upstreams of all services.
 	Cut     bool          `json:"cut,omitempty"`
@@ -334,7 +339,7 @@
 	s := &g.sources
 	now := time.Now()
 	out := GatewayStatus{
-		Entry: s.Name, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
+		Entry: s.Name, Build: versioner.Build(), Level: announcer.Level, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
 		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(), Connections: s.Connections(), Listeners: s.Listeners(),
 	}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -18,6 +18,7 @@
 	"poplarwind/forwarder"
 	"poplarwind/internal/acceptor"
 	"poplarwind/internal/sleeper"
+	"poplarwind/internal/versioner"
 	"poplarwind/parser"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
@@ -112,7 +113,7 @@
 	}
 	g.table = announcer.NewTable(start, announcer.Member{
 		Name: p.Name(), Domain: p.Domain(), Region: p.Region(), Callers: p.Callers(), Peers: p.Peers(), Ops: p.Ops(), Epoch: start.UnixNano(),
-		Capacity: capacity(o.Cores(), o.LinkMbps()),
+		Build: versioner.Build(), Level: announcer.Level, Capacity: capacity(o.Cores(), o.LinkMbps()),
 	}, p.HeartbeatTimeout())
 	g.table.SetRemoteTimeout(remoteTimeoutFactor * p.HeartbeatTimeout())
 	g.announcer = announcer.New(g.table, announcer.Options{
@@ -317,7 +318,7 @@
 	if m := g.process.Gateway().MemoryLimitMiB(); m > 0 {
 		debug.SetMemoryLimit(int64(heapFraction * float64(m<<20)))
 	}
-	g.log.Info("entry started", "callers", g.process.Callers(), "peers", g.process.Peers(), "ops", g.process.Ops())
+	g.log.Info("entry started", "build", versioner.Build(), "level", announcer.Level, "callers", g.process.Callers(), "peers", g.process.Peers(), "ops", g.process.Ops())
 	select {
 	case <-ctx.Done():
 		g.drain(taskCtx)
--- a/runner/register.go
+++ b/runner/register.go
@@ -46,7 +46,8 @@
 // the record, which is then written again.
 func (g *Gateway) register(ctx context.Context) error {
 	self, _ := g.table.Self()
-	self.Epoch = 0
+	// The record says where an entry is, whichever process and build it runs.
+	self.Epoch, self.Build, self.Level = 0, "", 0
 	start, delay := time.Now(), registerDelay
 	if g.process.Gateway().Bootstrap() {
 		delay = initialRegisterDelay
