--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo upgrade test bench added capacity claims race lint generate
+.PHONY: build demo upgrade record test bench added capacity claims race lint generate
 
 build:
 	@mkdir -p bin
@@ -34,5 +34,8 @@
 upgrade:
 	./scripts/upgrade.sh
 
+record:
+	./scripts/record.sh $(COMMITS)
+
 claims: build
 	./scripts/claims.sh
