guarder: a panic drops a connection or a message, not the process

What could happen: any unexpected error in what reads callers, upstreams, entries or the store ends an entry with all requests that it has in hand, as the rejection on a broken connection did. Only the handler of a request was contained.

Change: connections, handlers of the other listeners, tasks and the goroutines that read responses and messages contain a panic: it is logged with its stack and counted (poplarwind_panics), the connection is closed, a task is run again after a second.

That of load probes, heartbeats and queries is not under test.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"poplarwind/bufferer"
+	"poplarwind/internal/guarder"
 	"poplarwind/internal/sleeper"
 	"poplarwind/storer"
 	"poplarwind/watcher"
@@ -115,7 +116,10 @@
 			}
 		}
 		for _, p := range a.selectPeers(peers) {
-			go a.exchangeTables(ctx, p)
+			go func() {
+				defer guarder.Contain(a.options.Log, "heartbeat", nil)
+				a.exchangeTables(ctx, p)
+			}()
 		}
 		sleeper.Sleep(ctx, a.interval())
 	}
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/internal/guarder"
 	"poplarwind/placer"
 	"poplarwind/pooler"
 	"poplarwind/quarantiner"
@@ -88,7 +89,10 @@
 	s.mu.Unlock()
 	x.forwarder.options.Log.Debug("upstream gave no response", "request", r.id, "upstream", u.ID(), "service", s.name, "fingerprint", r.fingerprint.String(), "error", err.Error())
 	if !checking {
-		go x.checkCrash(u)
+		go func() {
+			defer guarder.Contain(x.forwarder.options.Log, "check for a crash", nil)
+			x.checkCrash(u)
+		}()
 	}
 }
 
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/internal/guarder"
 	"poplarwind/placer"
 	"poplarwind/pooler"
 )
@@ -205,6 +206,7 @@
 	r.mu.Unlock()
 	for _, u := range upstreams {
 		go func() {
+			defer guarder.Contain(x.forwarder.options.Log, "load probe", nil)
 			cand := x.probe(u)
 			x.recordReach(cand)
 			r.deliver(cand)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/internal/guarder"
 	"poplarwind/pipeliner"
 	"poplarwind/pooler"
 )
@@ -187,6 +188,7 @@
 	replies := make(chan *pooler.Conn)
 	for _, addr := range addrs {
 		go func() {
+			defer guarder.Contain(x.forwarder.options.Log, "query to an entry", nil)
 			c := x.forwarder.queryEntry(ctx, addr, x.service.name, fresh)
 			select {
 			case replies <- c:
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -353,6 +353,12 @@
 	return true
 }
 
+// drop closes the connection, whose state may be inconsistent: a task of it has panicked.
+func (c *conn) drop() {
+	c.cancel()
+	_ = c.net.Close()
+}
+
 // abort ends the connection at once.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/pipeliner/respond.go
+++ b/pipeliner/respond.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/guarder"
 )
 
 // enqueue adds a call and starts it if it does not have to wait for others. It drops the call if
@@ -51,6 +53,7 @@
 
 // run runs a call and writes its response unless an earlier one is due.
 func (c *conn) run(p *pendingCall) {
+	defer guarder.Contain(c.server.options.Log, "request of a caller", c.drop)
 	c.server.handle(c.ctx, &p.Call)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -16,6 +16,7 @@
 
 	"poplarwind/bufferer"
 	"poplarwind/internal/acceptor"
+	"poplarwind/internal/guarder"
 	"poplarwind/router"
 )
 
@@ -132,6 +133,7 @@
 		return
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	defer guarder.Contain(s.options.Log, "connection of a caller", c.drop)
 	c.serve()
 }
 
--- a/pipeliner/server_test.go
+++ b/pipeliner/server_test.go
@@ -18,6 +18,7 @@
 	"poplarwind/bufferer"
 	"poplarwind/internal/acceptor"
 	_ "poplarwind/internal/seeder"
+	"poplarwind/router"
 )
 
 // TestConnLimit opens one connection more than allowed while the others have requests.
@@ -269,3 +270,37 @@
 		})
 	}
 }
+
+// TestPanicOfConnectionEndsProcess has the task of a connection panic. Its connection must be closed, and
+// others be served.
+func TestPanicOfConnectionEndsProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		odd := true
+		s := New(Options{
+			Handler: newTestHandler(), MaxHeader: testMaxHeader, MaxBody: testMaxBody, MaxConns: 1, Log: slog.New(slog.DiscardHandler),
+			IdleTimeout: func() time.Duration { return testIdle },
+			Limits: func() router.Limits {
+				if odd {
+					panic("odd request")
+				}
+				return router.Limits{}
+			},
+		})
+		for _, want := range []int{0, 200} {
+			caller, entry := net.Pipe()
+			go s.ServeConn(entry)
+			go func() { _, _ = io.WriteString(caller, "GET /safe/1/r HTTP/1.1\r\nHost: h\r\n\r\n") }()
+			var resp fasthttp.Response
+			err := resp.Read(bufio.NewReader(caller))
+			if want == 0 && err == nil || want > 0 && resp.StatusCode() != want {
+				t.Errorf("got: %d, %v want: %d", resp.StatusCode(), err, want)
+			}
+			_ = caller.Close()
+			synctest.Wait()
+			odd = false
+		}
+		if c := s.Connections(); c.Open != 0 || s.Pending() != 0 {
+			t.Errorf("got: %+v, %d pending want: none", c, s.Pending())
+		}
+	})
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/guarder"
 	"poplarwind/internal/sleeper"
 )
 
@@ -144,7 +145,10 @@
 		}
 		for _, m := range q.options.Live() {
 			if m.Name != q.options.Self {
-				go q.send(ctx, m, body)
+				go func() {
+					defer guarder.Contain(q.options.Log, "report of crashes", nil)
+					_, _ = q.send(ctx, m, body)
+				}()
 			}
 		}
 	}
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -22,6 +22,7 @@
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/internal/acceptor"
+	"poplarwind/internal/guarder"
 	"poplarwind/internal/versioner"
 	"poplarwind/pipeliner"
 	"poplarwind/quarantiner"
@@ -122,6 +123,7 @@
 		{"poplarwind.connections.closed_idle", "Callers' connections that were closed for others while they were idle.", g.counter(func() int64 { return g.sources.Connections().ClosedIdle })},
 		{"poplarwind.connections.closed_slow", "Callers' connections that were closed for others while a request was received slowly.", g.counter(func() int64 { return g.sources.Connections().ClosedSlow })},
 		{"poplarwind.connections.turned_away", "Callers' connections for which there was no room.", g.counter(func() int64 { return g.sources.Connections().TurnedAway })},
+		{"poplarwind.panics", "Panics that were contained.", g.counter(guarder.Panics)},
 		{"poplarwind.listeners.closed", "Connections to other listeners that were closed for others, by listener.", g.perListener(func(u acceptor.Usage) int64 { return u.Closed })},
 		{"poplarwind.listeners.turned_away", "Connections to other listeners for which there was no room, by listener.", g.perListener(func(u acceptor.Usage) int64 { return u.TurnedAway })},
 		{"poplarwind.headers.unread", "Headers of responses that nothing reads, by name.", func(o metric.Observer, i metric.Int64Observable) {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"reflect"
+	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -17,6 +19,7 @@
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/internal/acceptor"
+	"poplarwind/internal/guarder"
 	"poplarwind/internal/sleeper"
 	"poplarwind/internal/versioner"
 	"poplarwind/parser"
@@ -307,13 +310,13 @@
 	group.Go(func() error { return g.callers.Serve(g.accept(g.callersListener)) })
 	servers := []shutdowner{g.callers}
 	for _, l := range g.listeners {
-		s := l.server(l.handle)
+		s := l.server(guarder.Handler(g.log, l.handle))
 		s.IdleTimeout, s.ReduceMemoryUsage = l.idleTimeout, true
 		servers = append(servers, httpServer{s})
 		group.Go(func() error { return g.serve(s, l) })
 	}
 	for _, f := range tasks {
-		group.Go(func() error { return f(taskCtx) })
+		group.Go(func() error { return guarder.Task(taskCtx, g.log, taskName(f), f) })
 	}
 	if m := g.process.Gateway().MemoryLimitMiB(); m > 0 {
 		debug.SetMemoryLimit(int64(heapFraction * float64(m<<20)))
@@ -338,6 +341,11 @@
 	return errors.Trace(err)
 }
 
+// taskName returns the name of the function that runs a task.
+func taskName(f func(context.Context) error) string {
+	return runtime.FuncForPC(reflect.ValueOf(f).Pointer()).Name()
+}
+
 // trim periodically closes connections to upstreams that have been idle for too
 // long.
 func (g *Gateway) trim(ctx context.Context) error {
--- a/runner/listener.go
+++ b/runner/listener.go
@@ -10,6 +10,7 @@
 
 	"poplarwind/announcer"
 	"poplarwind/internal/acceptor"
+	"poplarwind/internal/guarder"
 	"poplarwind/relayer"
 	"poplarwind/resolver"
 )
@@ -75,7 +76,7 @@
 	handlers := []fasthttp.RequestHandler{callers: r.serveCaller, peers: r.announcer.Handle, ops: r.reporter.Handle}
 	servers := make([]*fasthttp.Server, 0, len(handlers))
 	for i, l := range r.listeners {
-		s := l.server(handlers[i])
+		s := l.server(guarder.Handler(r.log, handlers[i]))
 		servers = append(servers, s)
 		limiter := &acceptor.Limiter{Listener: &acceptor.Listener{Listener: l.Listener, Log: r.log}, Max: l.conns, Log: r.log}
 		s.ConnState = limiter.ConnState
--- a/tracker/acquire.go
+++ b/tracker/acquire.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/guarder"
 	"poplarwind/internal/sleeper"
 )
 
@@ -52,6 +53,7 @@
 		queried := make(chan struct{})
 		go func() {
 			defer close(queried)
+			defer guarder.Contain(t.log, "query for a replica", nil)
 			t.queryPeers(ctx, k, t.role(now))
 		}()
 		select {
--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/guarder"
 	"poplarwind/internal/sleeper"
 )
 
@@ -93,7 +94,10 @@
 		}
 		for _, m := range t.live() {
 			if m.Name == u.From {
-				go t.fetch(ctx, m, k)
+				go func() {
+					defer guarder.Contain(t.log, "query for changes", nil)
+					t.fetch(ctx, m, k)
+				}()
 			}
 		}
 	}
