--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -20,11 +21,17 @@
 	Silence
 	// Deaf forwards nothing to the server any more, and keeps connections open.
 	Deaf
+	// Lose resets connections when the response to a request comes, and forwards those to load
+	// probes.
+	Lose
 	// Reset resets connections.
 	Reset
 	modes
 )
 
+// requestHeader is in the responses to requests only.
+const requestHeader = "Response-Stamp"
+
 // delay is the delay of bytes in mode Delay.
 const delay = 30 * time.Millisecond
 
@@ -116,6 +123,10 @@
 		if m == Delay {
 			time.Sleep(delay)
 		}
+		if m == Lose && bytes.Contains(block[:n], []byte(requestHeader)) {
+			_ = to.SetLinger(0)
+			return
+		}
 		// What follows a gap would be taken for something else.
 		if dropped = dropped || m == dropping; dropped {
 			continue
