runner, imitator: responses of the store without an end are under test

The bound on memory had cases for callers, upstreams, entries and operators, and by reading for the store. Faults.Endless makes each of its responses a list that does not end.

--- a/runner/gateway_test.go
+++ b/runner/gateway_test.go
@@ -81,8 +81,9 @@
 // testGateway is a running gateway.
 type testGateway struct {
 	*Gateway
-	stop context.CancelFunc
-	done chan error
+	imitated *imitator.Store
+	stop     context.CancelFunc
+	done     chan error
 }
 
 // settings returns the settings of a gateway in failure domain a on free addresses.
@@ -119,7 +120,7 @@
 		s.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &testGateway{Gateway: g, stop: stop, done: make(chan error, 1)}
+	r := &testGateway{Gateway: g, imitated: s.store, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- g.Run(ctx) }()
 	return r
 }
--- a/runner/memory_test.go
+++ b/runner/memory_test.go
@@ -186,6 +186,15 @@
 	}
 }
 
+// endlessStore has all responses of the store not end.
+func endlessStore(g *testGateway, l *link, wg *sync.WaitGroup, stop <-chan struct{}) {
+	g.imitated.SetFaults(imitator.Faults{Endless: l.send})
+	wg.Go(func() {
+		<-stop
+		g.imitated.SetFaults(imitator.Faults{})
+	})
+}
+
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
@@ -211,6 +220,7 @@
 		"messages of peers":           endlessMessages,
 		"responses that are not read": unreadResponses,
 		"reports that are not read":   unreadReports,
+		"responses of the store":      endlessStore,
 		"short headers":               endlessHeaders(100),
 		"long headers":                endlessHeaders(16 << 10),
 	}
