forwarder: services and routes that are gone are forgotten

What happened: an entry kept the state of each service that ever had an upstream or a request, and the service time of each route. Any writer of the store can register upstreams of ever other services.

Cause: the state was created on demand and never removed.

Change: Trim forgets services without upstreams, requests or knowledge of removed processes that were not asked for in 2 minutes, and service times of routes that the configuration does not have.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -117,8 +117,8 @@
 	end atomic.Pointer[time.Time]
 
 	mu sync.Mutex
-	// services holds each service that had an upstream or a routed request, by
-	// name. Services are never removed.
+	// services holds each service that has an upstream, or had one or a routed
+	// request in the last serviceTTL, by name.
 	services map[string]*service
 }
 
@@ -187,10 +187,29 @@
 // so that they are not cut off then.
 func (f *Forwarder) SetEnd(t time.Time) { f.end.Store(&t) }
 
-// Trim closes connections to upstreams and other entries that have been idle for too long.
+// Trim closes connections to upstreams and other entries that have been idle for too long, and
+// forgets services that are not used any more: others may write any name to the store, and the
+// configuration changes.
 func (f *Forwarder) Trim() {
 	f.pool.Trim()
 	f.entries.Trim()
+	names := make(map[string]bool)
+	if t := f.table.Load(); t != nil {
+		for _, r := range t.Spec().Routes {
+			names[r.Name] = true
+		}
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, s := range f.services {
+		if now.Sub(s.usedAt) > serviceTTL && s.unused(now) {
+			delete(f.services, name)
+			f.options.Reach.Forget(name)
+			continue
+		}
+		s.trimRoutes(names)
+	}
 }
 
 // PutUpstream adds or updates an upstream. It is removed from any other service.
@@ -230,6 +249,7 @@
 		s.updateLimits(f.options, time.Now())
 		f.services[name] = s
 	}
+	s.usedAt = time.Now()
 	return s
 }
 
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 	// reach is that of the upstreams of the service.
 	reach *reacher.Reach
 
+	// usedAt is when the service was last asked for. The forwarder's lock guards it.
+	usedAt time.Time
+
 	mu          sync.Mutex
 	fleet       placer.Fleet
 	retryBudget limiter.RetryBudget
@@ -65,6 +69,25 @@
 	unassignedAllowanceFraction = 0.05
 )
 
+// serviceTTL is how long a service without upstreams is kept. It is longer than the window of the
+// retry budget, which would otherwise begin anew.
+const serviceTTL = 2 * time.Minute
+
+// unused reports whether the service has neither upstreams nor requests, and knows nothing of
+// upstreams that were removed.
+func (s *service) unused(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Empty(now) && s.queue.Len() == 0 && s.placing == 0 && !s.dispatchScheduled && len(s.lost) == 0
+}
+
+// trimRoutes removes the service times of routes that are not in the set of names.
+func (s *service) trimRoutes(names map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.serviceTimes, func(name string, _ *placer.ServiceTime) bool { return !names[name] })
+}
+
 // serviceTime returns the average service time of a route at this entry. The
 // lock must be held.
 func (s *service) serviceTime(route string) *placer.ServiceTime {
--- a/forwarder/service_test.go
+++ b/forwarder/service_test.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -147,3 +149,39 @@
 		}
 	})
 }
+
+// TestServicesOfOddUpstreams has upstreams of ever other services registered and removed, and routes of
+// ever other names. What the forwarder keeps of them must not grow, and a service with an upstream or
+// requests must stay.
+func TestServicesOfOddUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{runs: map[string]int{}, work: time.Millisecond}
+		f := tb.newEntry(t, 2)
+		for i := range 1000 {
+			id := fmt.Sprint("odd", i)
+			f.PutUpstream(placer.Spec{ID: id, Service: id, Addr: id, Domain: "a", Slots: 1})
+			f.service("s").admit(id, false)
+			f.RemoveUpstream(id)
+		}
+		if got := send(f, "/read/1", "r1").StatusCode(); got != 200 {
+			t.Errorf("got: %d want: 200", got)
+		}
+		for range 3 {
+			time.Sleep(serviceTTL / 2)
+			f.Trim()
+		}
+		time.Sleep(time.Second)
+		f.Trim()
+		if got := len(f.services); got != 1 {
+			t.Errorf("got: %d services want: 1", got)
+		}
+		if got := len(f.services["s"].serviceTimes); got > 2 {
+			t.Errorf("got: service times of %d routes want: at most 2", got)
+		}
+		if got := send(f, "/read/1", "r2").StatusCode(); got != 200 {
+			t.Errorf("got: %d want: 200", got)
+		}
+		tb.close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/placer/departure.go
+++ b/placer/departure.go
@@ -80,14 +80,24 @@
 // least until the end of its pause.
 const removedTTL = 5 * time.Minute
 
-// keepProcess keeps the state of the process of an upstream that is removed, and forgets
-// those that were removed long ago.
-func (f *Fleet) keepProcess(now time.Time, u *Upstream) {
+// Empty reports whether the fleet has no upstream and knows nothing of any that was removed.
+func (f *Fleet) Empty(now time.Time) bool {
+	f.forgetProcesses(now)
+	return len(f.upstreams) == 0 && len(f.removedProcesses) == 0
+}
+
+// forgetProcesses forgets the processes whose records were removed long ago.
+func (f *Fleet) forgetProcesses(now time.Time) {
 	for id, p := range f.removedProcesses {
 		if now.Sub(p.removedAt) >= removedTTL && !now.Before(p.pause.until) {
 			delete(f.removedProcesses, id)
 		}
 	}
+}
+
+// keepProcess keeps the state of the process of an upstream that is removed.
+func (f *Fleet) keepProcess(now time.Time, u *Upstream) {
+	f.forgetProcesses(now)
 	if u.process == (processState{}) {
 		return
 	}
--- a/reacher/reach.go
+++ b/reacher/reach.go
@@ -99,6 +99,13 @@
 	return s
 }
 
+// Forget removes what is known of one service. The receiver must be that of all.
+func (r *Reach) Forget(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.services, name)
+}
+
 // Cut reports whether the entry is cut off from the upstreams of the service, or of all
 // services.
 func (r *Reach) Cut() bool { return r.cut.Load() }
