--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"poplarwind/platform/imitator"
 )
 
 // Mode is what a Proxy does with the bytes of its connections.
@@ -29,9 +31,6 @@
 	modes
 )
 
-// requestHeader is in the responses to requests only.
-const requestHeader = "Response-Stamp"
-
 // delay is the delay of bytes in mode Delay.
 const delay = 30 * time.Millisecond
 
@@ -123,7 +122,7 @@
 		if m == Delay {
 			time.Sleep(delay)
 		}
-		if m == Lose && bytes.Contains(block[:n], []byte(requestHeader)) {
+		if m == Lose && bytes.Contains(block[:n], []byte(imitator.StampHeader)) {
 			_ = to.SetLinger(0)
 			return
 		}
