bufferer: of two large bodies that wait, neither blocks the other

Cause: since only the first body of a lane looks for bodies that give way. If the later one of two large bodies is first in the lane, it may not have the earlier one give way, the earlier one does not look, and both wait for a second; the first to give up is the wrong one if both began to wait at the same time.

Change: only the lanes of small bodies, which may have thousands, have an order. The memory bounds the number of medium and large ones, and each of them looks as before.

--- a/bufferer/budget.go
+++ b/bufferer/budget.go
@@ -45,6 +45,11 @@
 	lanes      = short + 1 + lane(classes)
 )
 
+// crowded reports whether a lane may have thousands of bodies: each then has its turn when it is the
+// first. The memory bounds the number of the others, and any of them may get room or look for bodies
+// that give way, since the largest or the last of them does so itself.
+func (l lane) crowded() bool { return l <= short+1+lane(small) }
+
 const (
 	// smallSize and mediumSize are the largest sizes of their classes, in bytes.
 	smallSize  = 64 << 10
@@ -94,8 +99,8 @@
 	bodies map[*Body]struct{}
 	// evicting counts bodies that were told to give way and have not been released.
 	evicting int
-	// lanes holds the bodies that wait for room, by kind and lane, in the order in which they
-	// get it: smaller ones would otherwise take what the first lacks a part of.
+	// lanes holds the bodies that wait for room, by kind and lane. Those of crowded lanes get it
+	// in their order: smaller ones would otherwise take what the first lacks a part of.
 	lanes [Kinds][lanes][]*Body
 	// order numbers the bodies.
 	order uint64
@@ -234,12 +239,15 @@
 	b.wake()
 }
 
-// wake makes the first body of each lane check for room. The lock must be held.
+// wake makes the bodies whose turn it is check for room. The lock must be held.
 func (g *Budget) wake() {
 	for k := range g.lanes {
-		for _, waiting := range g.lanes[k] {
-			if len(waiting) > 0 {
-				waiting[0].wake()
+		for l, waiting := range g.lanes[k] {
+			if lane(l).crowded() {
+				waiting = waiting[:min(1, len(waiting))]
+			}
+			for _, b := range waiting {
+				b.wake()
 			}
 		}
 	}
@@ -286,7 +294,7 @@
 // awaitRoom implements reserve. The lock must be held; it is released while the body waits.
 func (g *Budget) awaitRoom(b *Body, n int) error {
 	l := b.lane(n)
-	if b.ended == nil && g.shortage(b, n) == (shortage{}) && len(g.lanes[b.kind][l]) == 0 && g.precedes(b, l) {
+	if b.ended == nil && g.shortage(b, n) == (shortage{}) && g.hasTurn(b, l) && g.precedes(b, l) {
 		g.resize(b, n)
 		return nil
 	}
@@ -302,12 +310,12 @@
 		end = b.deadline
 	}
 	for nextCheck := now; ; {
-		s, first := g.shortage(b, n), g.lanes[b.kind][l][0] == b
+		s, turn := g.shortage(b, n), g.hasTurn(b, l)
 		now = time.Now()
 		switch {
 		case b.ended != nil:
 			return b.ended
-		case first && s == shortage{} && g.precedes(b, l):
+		case turn && s == shortage{} && g.precedes(b, l):
 			g.resize(b, n)
 			return nil
 		case !now.Before(end):
@@ -315,10 +323,10 @@
 			return ErrExhausted
 		}
 		pause := end.Sub(now)
-		if first {
+		if turn {
 			pause = min(checkInterval, pause)
 		}
-		if first && g.evicting == 0 && !now.Before(nextCheck) {
+		if turn && g.evicting == 0 && !now.Before(nextCheck) {
 			nextCheck = now.Add(checkInterval)
 			if v := g.victim(now, b, n, s); v != nil {
 				g.evict(v)
@@ -329,8 +337,14 @@
 	}
 }
 
-// precedes reports whether a body that is the first of its lane gets room before those of other
-// lanes of its kind.
+// hasTurn reports whether no other body of the lane gets room before b.
+func (g *Budget) hasTurn(b *Body, l lane) bool {
+	waiting := g.lanes[b.kind][l]
+	return !l.crowded() || len(waiting) == 0 || waiting[0] == b
+}
+
+// precedes reports whether a body that has its turn gets room before those of other lanes of its
+// kind.
 func (g *Budget) precedes(b *Body, l lane) bool {
 	return l == short || len(g.lanes[b.kind][short]) == 0
 }
