--- a/runner/slow_link_test.go
+++ b/runner/slow_link_test.go
@@ -1,14 +1,18 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"poplarwind/platform"
 	"poplarwind/platform/imitator"
+	"poplarwind/tracker"
 )
 
 // slowLink carries bytes between connections to a listener and a target, those to the client at
@@ -86,3 +90,33 @@
 		t.Logf("version %d in force after %v", version, time.Since(start))
 	}
 }
+
+// TestWatchOfMissedVersionsHoldsUp watches from before 12 versions of a configuration of 260 kB over a path
+// of 10 Mbit/s. The watch, which has all of them, must end soon, and a list have the newest one.
+func TestWatchOfMissedVersionsHoldsUp(t *testing.T) {
+	s := newGatewayEnv(t, time.Millisecond)
+	var routes []imitator.Route
+	for i := range 1400 {
+		routes = append(routes, imitator.Route{Path: fmt.Sprintf("/%d/", i), Idempotent: true})
+	}
+	for version := 4; version < 16; version++ {
+		s.store.PutRoutes(version, "h.example", "jobs", routes)
+	}
+	slow := &slowLink{Listener: listen(t)}
+	t.Cleanup(func() { _ = slow.Close() })
+	go slow.serve(s.addr)
+	store := platform.NewStore(slow.Addr().String(), slog.New(slog.DiscardHandler), nil, nil)
+	limited := func() context.Context {
+		ctx, cancel := context.WithTimeout(t.Context(), tracker.ResponseTimeout)
+		t.Cleanup(cancel)
+		return ctx
+	}
+	start := time.Now()
+	if _, err := store.Watch(limited(), tracker.Configs, 1, time.Millisecond); err == nil || time.Since(start) > 2*tracker.ResponseTimeout {
+		t.Errorf("got: %v after %v want: an error within %v", err, time.Since(start), 2*tracker.ResponseTimeout)
+	}
+	d, err := store.List(limited(), tracker.Configs, false)
+	if err != nil || len(d.Changes) != 1 || d.Changes[0].Config.Version != 15 {
+		t.Errorf("got: %v, %d objects want: version 15", err, len(d.Changes))
+	}
+}
