scanner, pooler: a response without a valid status is no response

What callers saw: an upstream in trouble sent a response with status 000, and the caller got it as a success, with the upstream's stamp (MIXED).

Cause: the codec reads a status of any three digits, and states 0 as 200 (ResponseHeader.StatusCode of fasthttp). Nothing looked at the status line before it. By the same way 600 to 999 were passed on, 001 to 099 were skipped like interim responses, other versions than HTTP/1 were passed on with their status line, and so were control bytes in the reason phrase. The store, the platform of the own interface, other entries and, for poplarctl, entries are read by the codec's client: a list, a change, an acknowledgement of a write, or a message with status 000 counted as a response.

Ruled out: that the status is lost when the response is written again. The codec has replaced it when it parses; the original can't be read from the parsed header, so a check must come before that.

Change: the package scanner checks status lines against the grammar of RFC 9112, with status codes of 100 to 599. pooler checks each head while it is still in the buffer, interim ones too, so that all responses of upstreams, load probes and relayed requests are covered; clients of fasthttp check it in the connection (scanner.Dial). The request counts as one that may have run; the log names it, the upstream and the byte, and it is no lost connection that calls for a check for a crash. A head that exceeds the buffer is ErrTooLarge instead of an error of the codec.

FuzzHead compares the status with that of the codec.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -14,6 +14,7 @@
 
 	"poplarwind/bufferer"
 	"poplarwind/internal/guarder"
+	"poplarwind/internal/scanner"
 	"poplarwind/internal/sleeper"
 	"poplarwind/storer"
 	"poplarwind/watcher"
@@ -98,7 +99,7 @@
 		budget: rate.NewLimiter(rate.Limit(o.BytesPerSecond/2), burstSeconds*o.BytesPerSecond),
 		random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		client: fasthttp.Client{
-			MaxIdemponentCallAttempts: 1, StreamResponseBody: true, NoDefaultUserAgentHeader: true,
+			DialTimeout: scanner.Dial(nil), MaxIdemponentCallAttempts: 1, StreamResponseBody: true, NoDefaultUserAgentHeader: true,
 			MaxIdleConnDuration: time.Minute, ReadTimeout: peerTimeout, WriteTimeout: peerTimeout,
 		},
 	}
--- a/cmd/poplarctl/entries.go
+++ b/cmd/poplarctl/entries.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/scanner"
 	"poplarwind/internal/sleeper"
 	"poplarwind/reporter"
 )
@@ -147,9 +148,12 @@
 	return out
 }
 
+// client reads from the operations listeners of entries.
+var client = fasthttp.Client{DialTimeout: scanner.Dial(nil)}
+
 // getJSON decodes the JSON body at path of addr into dst.
 func getJSON(addr, path string, dst any) error {
-	statusCode, body, err := fasthttp.GetTimeout(nil, "http://"+addr+path, requestTimeout)
+	statusCode, body, err := client.GetTimeout(nil, "http://"+addr+path, requestTimeout)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/cmd/poplarctl/gateways_test.go
+++ b/cmd/poplarctl/gateways_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/announcer"
+	"poplarwind/internal/responder"
 	"poplarwind/quarantiner"
 	"poplarwind/reporter"
 	"poplarwind/tracker"
@@ -86,3 +87,20 @@
 		t.Errorf("got: %v want: %v", err, errUsage)
 	}
 }
+
+// TestMalformedStatusOfEntry has an entry respond with heads that HTTP does not allow. Its state must
+// not be shown.
+func TestMalformedStatusOfEntry(t *testing.T) {
+	for head, want := range map[string]error{
+		"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n": nil,
+		"HTTP/1.1 000 OK\r\n":             errNoEntry,
+	} {
+		addr := responder.Start(t, func(*fasthttp.Request) (string, bool) {
+			return head + "Content-Length: 14\r\n\r\n" + `{"entry":"e1"}`, false
+		})
+		c := &tool{out: &bytes.Buffer{}, entryAddrs: addr}
+		if err := c.entries(t.Context(), nil); !errors.Is(err, want) {
+			t.Errorf("%q: got: %v want: %v", head, err, want)
+		}
+	}
+}
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -71,7 +71,7 @@
 func connectionLost(err error) bool {
 	var netErr net.Error
 	timeout := errors.As(err, &netErr) && netErr.Timeout()
-	return err != nil && !timeout && !errors.Is(err, errIncomplete) && !errors.Is(err, errOverdue) && !errors.Is(err, pooler.ErrTooLarge) && !errors.Is(err, pooler.ErrExhausted)
+	return err != nil && !timeout && !errors.Is(err, errIncomplete) && !errors.Is(err, errOverdue) && !brokenOff(err)
 }
 
 // recordLost records that an upstream gave no response to the request and closed the
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -98,7 +98,7 @@
 	o.sent = c.Written()
 	if o.resp == nil {
 		f.pool.Discard(c)
-		x.logExhausted(u, o.err)
+		x.logBrokenOff(u, o.err)
 		if o.sent && !o.disconnected && connectionLost(o.err) {
 			x.recordLost(u, o.err)
 		}
@@ -116,9 +116,15 @@
 	f.pool.Put(c)
 }
 
-// logExhausted logs a response that was broken off because it had no room in memory.
-func (x *exchange) logExhausted(u *placer.Upstream, err error) {
-	if errors.Is(err, pooler.ErrExhausted) || errors.Is(err, pooler.ErrTooLarge) {
+// brokenOff reports whether this entry broke off a response: it had no room in memory, or is
+// malformed.
+func brokenOff(err error) bool {
+	return errors.Is(err, pooler.ErrExhausted) || errors.Is(err, pooler.ErrTooLarge) || errors.Is(err, pooler.ErrMalformed)
+}
+
+// logBrokenOff logs a response that this entry broke off.
+func (x *exchange) logBrokenOff(u *placer.Upstream, err error) {
+	if brokenOff(err) {
 		x.forwarder.options.Log.Warn("response broken off", "request", string(x.id), "upstream", u.ID(), "service", x.service.name, "error", err.Error())
 	}
 }
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -79,6 +79,7 @@
 	truncated   fault = "response truncated"
 	noLength    fault = "response without a length"
 	garbage     fault = "response is not HTTP"
+	zeroStatus  fault = "response with status 000"
 	unstamped   fault = "response without a stamp"
 	encoded     fault = "response with a content encoding"
 	excess      fault = "bytes after the response"
@@ -99,7 +100,7 @@
 
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, failedBusy, failedLimit, shed, misdirected,
-	truncated, noLength, garbage, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
+	truncated, noLength, garbage, zeroStatus, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
 	shedPause, shedPauseUnnamed, shedPauseCut, shedPauseStale, leaves,
 }
 
@@ -289,6 +290,8 @@
 	case garbage:
 		write("\x00\x01 not a response\r\n\r\n")
 		return false
+	case zeroStatus:
+		return write("HTTP/1.1 000 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 5\r\n\r\nwrong", id)
 	case unstamped:
 		return write("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\nother", id)
 	case encoded:
--- /dev/null
+++ b/internal/scanner/scanner_test.go
@@ -0,0 +1,134 @@
+package scanner
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/scripter"
+)
+
+// body is what follows a head in the tests.
+const body = "whole"
+
+// TestHeads scans the texts of testdata, with escapes as in Go: as one piece, byte by byte, and
+// from a reader. A body behind them must not be scanned.
+func TestHeads(t *testing.T) {
+	scripter.Run(t, "testdata/*.txt", func(t *testing.T) func([]string) string {
+		return func(args []string) string {
+			text, err := strconv.Unquote(`"` + strings.Join(args[1:], " ") + `"`)
+			if err != nil {
+				return err.Error()
+			}
+			start := Head{}
+			want := scan(start, text, len(text)+len(body))
+			for _, got := range []string{scan(start, text, 1), check(t, start, text)} {
+				if got != want {
+					t.Errorf("%q: got: %s want: %s, as in one piece", text, got, want)
+				}
+			}
+			return want
+		}
+	})
+}
+
+// scan scans a text, and a body behind it if it is a complete head, in pieces of a size, and
+// returns the outcome.
+func scan(h Head, text string, size int) string {
+	rest, scanned := []byte(text+body), 0
+	if h.incomplete(text) {
+		rest = rest[:len(text)]
+	}
+	for len(rest) > 0 {
+		piece := rest[:min(size, len(rest))]
+		n, err := h.Scan(piece)
+		scanned += n
+		if err != nil {
+			return reasonOf(err)
+		}
+		rest = rest[len(piece):]
+	}
+	switch {
+	case !h.Done():
+		return "incomplete"
+	case scanned != len(text):
+		return "wrong end"
+	case h.Interim():
+		return "interim"
+	}
+	return "complete"
+}
+
+// incomplete reports whether more bytes of the head must follow a text.
+func (h Head) incomplete(text string) bool {
+	_, err := h.Scan([]byte(text))
+	return err == nil && !h.Done()
+}
+
+// reasonOf returns the text of an error without the sentinel.
+func reasonOf(err error) string {
+	return strings.TrimSuffix(err.Error(), ": "+ErrMalformed.Error())
+}
+
+// check passes a text, and a body behind it, to Check byte by byte and returns the outcome.
+func check(t *testing.T, h Head, text string) string {
+	t.Helper()
+	interim := h
+	_, _ = interim.Scan([]byte(text))
+	if !h.incomplete(text) {
+		text += body
+	}
+	r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	err := Check(r, h)
+	if rest, _ := io.ReadAll(r); string(rest) != text {
+		t.Errorf("%q: got: %q left to read want: all", text, rest)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return "incomplete"
+	case err != nil:
+		return reasonOf(err)
+	case interim.Interim():
+		return "interim"
+	}
+	return "complete"
+}
+
+// TestCheckLongHead checks that a head that exceeds the buffer is no malformed one.
+func TestCheckLongHead(t *testing.T) {
+	r := bufio.NewReaderSize(strings.NewReader("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", 64)), 32)
+	if err := Check(r, Head{}); !errors.Is(err, bufio.ErrBufferFull) {
+		t.Errorf("got: %v want: %v", err, bufio.ErrBufferFull)
+	}
+}
+
+// FuzzHead compares what the codec parses with what was sent. Of a head that is not malformed, it
+// must find the same status.
+func FuzzHead(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var h Head
+		if _, err := h.Scan(text); err != nil || !h.Done() {
+			return
+		}
+		r := bufio.NewReader(bytes.NewReader(text))
+		var parsed fasthttp.ResponseHeader
+		if err := parsed.Read(r); err != nil {
+			return
+		}
+		if got, want := strconv.Itoa(parsed.StatusCode()), string(text[statusOffset:statusOffset+3]); got != want {
+			t.Errorf("%q: got: status %s want: %s", text, got, want)
+		}
+	})
+}
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -13,6 +13,7 @@
 
 	"poplarwind/bufferer"
 	"poplarwind/internal/inspector"
+	"poplarwind/internal/scanner"
 )
 
 const (
@@ -23,6 +24,8 @@
 	ErrTooLarge = errors.ConstError("answer is too large")
 	// ErrExhausted reports a response for which there is no memory left.
 	ErrExhausted = bufferer.ErrExhausted
+	// ErrMalformed reports a response whose head HTTP does not allow.
+	ErrMalformed = scanner.ErrMalformed
 )
 
 // maxInterim bounds the interim (1xx) responses read before the final one.
@@ -136,9 +139,9 @@
 // Receive reads a complete response with a body of at most maxBody bytes, 0 meaning
 // that it is not limited. head indicates that the request method was HEAD, whose
 // response has no body. Receive returns ErrTruncated if the end of the response cannot
-// be distinguished from a truncation, and ErrExhausted if the pool's budget has no room
-// for it. The body of the response is a stream from memory, which is released with the
-// response.
+// be distinguished from a truncation, ErrMalformed if its head is malformed,
+// and ErrExhausted if the pool's budget has no room for it. The body of the response is a
+// stream from memory, which is released with the response.
 func (c *Conn) Receive(resp *fasthttp.Response, head bool, maxBody int) error {
 	return c.receive(resp, head, maxBody, false)
 }
@@ -154,6 +157,9 @@
 	c.receiving, c.readable = maxBody > 0, maxFramingRatio*maxBody+maxOverhead
 	defer func() { c.receiving = false }()
 	for range maxInterim {
+		if err := c.checkHead(); err != nil {
+			return err
+		}
 		if err := resp.Header.Read(c.read); err != nil {
 			return errors.Trace(err)
 		}
@@ -164,6 +170,15 @@
 	return errors.Annotate(ErrTruncated, "too many interim answers")
 }
 
+// checkHead waits for a head and checks it before the codec reads it.
+func (c *Conn) checkHead() error {
+	err := scanner.Check(c.read, scanner.Head{})
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return errors.Annotate(ErrTooLarge, "header")
+	}
+	return err
+}
+
 func (c *Conn) receiveBody(resp *fasthttp.Response, head bool, maxBody int, allowClose bool) error {
 	s := resp.StatusCode()
 	if s == fasthttp.StatusSwitchingProtocols {
--- a/relayer/testbed_test.go
+++ b/relayer/testbed_test.go
@@ -39,6 +39,7 @@
 	noLength         fault = "response without a length"
 	truncatedChunked fault = "truncated chunked response"
 	garbage          fault = "response is not HTTP"
+	zeroStatus       fault = "response with status 000"
 	excessBytes      fault = "bytes after the response"
 	interimResponse  fault = "interim response first"
 	markedDraining   fault = "marked as draining"
@@ -48,7 +49,7 @@
 
 var serverFaults = []fault{
 	healthy, connRefused, slowConnect, resetAtAccept, resetInRequest, resetAfterRead, runAndReset, runAndHang, slowRun,
-	failFast, shed, shedRetried, truncated, noLength, truncatedChunked, garbage, excessBytes, interimResponse, markedDraining, closeAfter, entryPaused,
+	failFast, shed, shedRetried, truncated, noLength, truncatedChunked, garbage, zeroStatus, excessBytes, interimResponse, markedDraining, closeAfter, entryPaused,
 }
 
 // storeFault is a fault injected into one store operation.
@@ -200,6 +201,8 @@
 	case garbage:
 		write("+OK 42\n\n\n\n")
 		return false
+	case zeroStatus:
+		write("HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nother")
 	case excessBytes:
 		write(complete + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
 	case interimResponse:
--- a/storer/client.go
+++ b/storer/client.go
@@ -10,6 +10,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"poplarwind/internal/scanner"
 )
 
 const (
@@ -35,6 +37,7 @@
 		timeout = defaultTimeout
 	}
 	return &Client{addr: addr, timeout: timeout, http: fasthttp.Client{
+		DialTimeout:               scanner.Dial(nil),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxResponseBodySize:       maxResponseBytes,
