scanner, pooler: a field name with a blank or a control byte makes no response

Cause: the codec is lenient with fields, and nothing looked at them before it. - A blank within a name is tolerated, and the line written to the caller. "Content Length" and "Transfer Encoding" then leave the response without its length: its chunks were passed on as its body. - A blank before a colon is dropped. - A line that begins with a blank continues the one before it: "Response-Stamp: s" became "Response-Stamp: s X-Odd: 1", and a length was lost in the same way. - A line feed alone ends a line, and an empty line that it ends ends the head: of "\nContent-Length: 5\r\n\r\nwhole" the caller got "Content-Length: 5\r\n\r\nwhole" as the body. The same holds for trailers, whose fields are passed on, and for the responses that clients of fasthttp read.

Ruled out: a check of the parsed header. It no longer has the blanks before colons, the continued lines, and the end of the head.

Change: the scanner checks fields against the grammar of RFC 9112, in heads and in trailers: names are tokens, a colon follows at once, lines end with a carriage return and a line feed, and none continues another. The RFC lets a proxy reject continued lines with 502, and lets a recipient accept a line feed alone, which no longer is.

--- a/announcer/transport_test.go
+++ b/announcer/transport_test.go
@@ -17,7 +17,7 @@
 // not allow. They are no responses, and the next one is used.
 func TestMalformedResponseOfPeer(t *testing.T) {
 	secret := []byte("secret-of-the-tests")
-	heads := []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\n"}
+	heads := []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", "HTTP/1.1 200 OK\r\n"}
 	next := 0
 	peer := Member{Peers: responder.Start(t, func(req *fasthttp.Request) (string, bool) {
 		head, body := heads[next], `"reply"`
--- a/cmd/poplarctl/gateways_test.go
+++ b/cmd/poplarctl/gateways_test.go
@@ -94,6 +94,7 @@
 	for head, want := range map[string]error{
 		"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n": nil,
 		"HTTP/1.1 000 OK\r\n":             errNoEntry,
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n": errNoEntry,
 	} {
 		addr := responder.Start(t, func(*fasthttp.Request) (string, bool) {
 			return head + "Content-Length: 14\r\n\r\n" + `{"entry":"e1"}`, false
--- a/forwarder/malformed_test.go
+++ b/forwarder/malformed_test.go
@@ -12,7 +12,7 @@
 // TestMalformedResponseUnlogged has an upstream send malformed responses, each of which must be in the
 // log with its request and its upstream. None of them makes the entry check whether the upstream crashed.
 func TestMalformedResponseUnlogged(t *testing.T) {
-	for _, f := range []fault{garbage, zeroStatus} {
+	for _, f := range []fault{garbage, zeroStatus, blankInName, emptyLine} {
 		t.Run(string(f), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var log bytes.Buffer
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -80,6 +80,8 @@
 	noLength    fault = "response without a length"
 	garbage     fault = "response is not HTTP"
 	zeroStatus  fault = "response with status 000"
+	blankInName fault = "response with a blank in a field name"
+	emptyLine   fault = "response with a line feed before a field"
 	unstamped   fault = "response without a stamp"
 	encoded     fault = "response with a content encoding"
 	excess      fault = "bytes after the response"
@@ -100,7 +102,7 @@
 
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, failedBusy, failedLimit, shed, misdirected,
-	truncated, noLength, garbage, zeroStatus, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
+	truncated, noLength, garbage, zeroStatus, blankInName, emptyLine, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
 	shedPause, shedPauseUnnamed, shedPauseCut, shedPauseStale, leaves,
 }
 
@@ -292,6 +294,10 @@
 		return false
 	case zeroStatus:
 		return write("HTTP/1.1 000 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 5\r\n\r\nwrong", id)
+	case blankInName:
+		return write("HTTP/1.1 200 OK\r\nOdd Name: 1\r\nId: %s\r\nStamp: s\r\nContent-Length: 5\r\n\r\nwrong", id)
+	case emptyLine:
+		return write("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nConnection: close\r\nContent-Length: 5\r\n\nOdd: 1\r\n\r\nwhole", id)
 	case unstamped:
 		return write("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\nother", id)
 	case encoded:
--- a/internal/scanner/conn_test.go
+++ b/internal/scanner/conn_test.go
@@ -26,6 +26,7 @@
 		{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
 		{"status", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", true},
 		{"status behind interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", true},
+		{"field", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			addr := responder.Start(t, func(req *fasthttp.Request) (string, bool) {
--- a/internal/scanner/scanner_test.go
+++ b/internal/scanner/scanner_test.go
@@ -28,6 +28,9 @@
 				return err.Error()
 			}
 			start := Head{}
+			if args[0] == "trailer" {
+				start = NewTrailer()
+			}
 			want := scan(start, text, len(text)+len(body))
 			for _, got := range []string{scan(start, text, 1), check(t, start, text)} {
 				if got != want {
@@ -110,16 +113,18 @@
 }
 
 // FuzzHead compares what the codec parses with what was sent. Of a head that is not malformed, it
-// must find the same status.
+// must find the same end and the same status, and no name that is not a token.
 func FuzzHead(f *testing.F) {
 	for _, text := range []string{
-		"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\nA: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\n B: 2\r\n\r\n",
 	} {
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var h Head
-		if _, err := h.Scan(text); err != nil || !h.Done() {
+		n, err := h.Scan(text)
+		if err != nil || !h.Done() {
 			return
 		}
 		r := bufio.NewReader(bytes.NewReader(text))
@@ -127,8 +132,18 @@
 		if err := parsed.Read(r); err != nil {
 			return
 		}
+		if got := len(text) - r.Buffered(); len(text) < r.Size() && got != n {
+			t.Errorf("%q: got: a head of %d bytes want: %d", text, got, n)
+		}
 		if got, want := strconv.Itoa(parsed.StatusCode()), string(text[statusOffset:statusOffset+3]); got != want {
 			t.Errorf("%q: got: status %s want: %s", text, got, want)
 		}
+		for name := range parsed.All() {
+			for _, c := range name {
+				if !isToken(c) {
+					t.Errorf("%q: got: name %q want: a token", text, name)
+				}
+			}
+		}
 	})
 }
--- a/internal/scanner/state_string.go
+++ b/internal/scanner/state_string.go
@@ -12,14 +12,15 @@
 	_ = x[reason-1]
 	_ = x[lineEnd-2]
 	_ = x[lineStart-3]
-	_ = x[field-4]
-	_ = x[headEnd-5]
-	_ = x[done-6]
+	_ = x[name-4]
+	_ = x[value-5]
+	_ = x[headEnd-6]
+	_ = x[done-7]
 }
 
-const _state_name = "status linereason phraseline endstart of a linefieldend of the headbody"
+const _state_name = "status linereason phraseline endstart of a linefield namefield valueend of the headbody"
 
-var _state_index = [...]uint8{0, 11, 24, 32, 47, 52, 67, 71}
+var _state_index = [...]uint8{0, 11, 24, 32, 47, 57, 68, 83, 87}
 
 func (i state) String() string {
 	idx := int(i) - 0
--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -24,7 +24,7 @@
 	ErrTooLarge = errors.ConstError("answer is too large")
 	// ErrExhausted reports a response for which there is no memory left.
 	ErrExhausted = bufferer.ErrExhausted
-	// ErrMalformed reports a response whose head HTTP does not allow.
+	// ErrMalformed reports a response whose head or trailer HTTP does not allow.
 	ErrMalformed = scanner.ErrMalformed
 )
 
@@ -139,7 +139,7 @@
 // Receive reads a complete response with a body of at most maxBody bytes, 0 meaning
 // that it is not limited. head indicates that the request method was HEAD, whose
 // response has no body. Receive returns ErrTruncated if the end of the response cannot
-// be distinguished from a truncation, ErrMalformed if its head is malformed,
+// be distinguished from a truncation, ErrMalformed if its head or its trailer is malformed,
 // and ErrExhausted if the pool's budget has no room for it. The body of the response is a
 // stream from memory, which is released with the response.
 func (c *Conn) Receive(resp *fasthttp.Response, head bool, maxBody int) error {
@@ -157,7 +157,7 @@
 	c.receiving, c.readable = maxBody > 0, maxFramingRatio*maxBody+maxOverhead
 	defer func() { c.receiving = false }()
 	for range maxInterim {
-		if err := c.checkHead(); err != nil {
+		if err := c.checkHead(scanner.Head{}); err != nil {
 			return err
 		}
 		if err := resp.Header.Read(c.read); err != nil {
@@ -170,9 +170,9 @@
 	return errors.Annotate(ErrTruncated, "too many interim answers")
 }
 
-// checkHead waits for a head and checks it before the codec reads it.
-func (c *Conn) checkHead() error {
-	err := scanner.Check(c.read, scanner.Head{})
+// checkHead waits for a head, or a trailer, and checks it before the codec reads it.
+func (c *Conn) checkHead(h scanner.Head) error {
+	err := scanner.Check(c.read, h)
 	if errors.Is(err, bufio.ErrBufferFull) {
 		return errors.Annotate(ErrTooLarge, "header")
 	}
@@ -221,6 +221,9 @@
 		if err := b.ReadAll(httputil.NewChunkedReader(c.read), maxBody); err != nil {
 			return err
 		}
+		if err := c.checkHead(scanner.NewTrailer()); err != nil {
+			return err
+		}
 		return resp.Header.ReadTrailer(c.read)
 	}
 	return b.ReadN(c.read, n)
@@ -233,6 +236,8 @@
 		return errors.Trace(ErrTooLarge)
 	case errors.Is(err, ErrExhausted):
 		return errors.Trace(ErrExhausted)
+	case errors.Is(err, ErrMalformed):
+		return err
 	}
 	return errors.WithType(err, ErrTruncated)
 }
--- a/pooler/malformed_test.go
+++ b/pooler/malformed_test.go
@@ -24,6 +24,9 @@
 		{"sound trailer", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Odd: 1\r\n\r\n", nil},
 		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole", ErrMalformed},
 		{"status 099 as interim response", "HTTP/1.1 099 Odd\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nwhole", ErrMalformed},
+		{"blank in a name", ok + "X Odd: 1\r\nContent-Length: 5\r\n\r\nwhole", ErrMalformed},
+		{"line feed before a name", ok + "Content-Length: 5\r\n\nX-Odd: 1\r\n\r\nwhole", ErrMalformed},
+		{"blank in a trailer", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Odd: 1\r\n\r\n", ErrMalformed},
 		{"long head", ok + "A: " + strings.Repeat("x", defaultBufferSize) + "\r\n\r\n", ErrTooLarge},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/relayer/testbed_test.go
+++ b/relayer/testbed_test.go
@@ -40,6 +40,7 @@
 	truncatedChunked fault = "truncated chunked response"
 	garbage          fault = "response is not HTTP"
 	zeroStatus       fault = "response with status 000"
+	blankInName      fault = "response with a blank in a field name"
 	excessBytes      fault = "bytes after the response"
 	interimResponse  fault = "interim response first"
 	markedDraining   fault = "marked as draining"
@@ -49,7 +50,7 @@
 
 var serverFaults = []fault{
 	healthy, connRefused, slowConnect, resetAtAccept, resetInRequest, resetAfterRead, runAndReset, runAndHang, slowRun,
-	failFast, shed, shedRetried, truncated, noLength, truncatedChunked, garbage, zeroStatus, excessBytes, interimResponse, markedDraining, closeAfter, entryPaused,
+	failFast, shed, shedRetried, truncated, noLength, truncatedChunked, garbage, zeroStatus, blankInName, excessBytes, interimResponse, markedDraining, closeAfter, entryPaused,
 }
 
 // storeFault is a fault injected into one store operation.
@@ -203,6 +204,8 @@
 		return false
 	case zeroStatus:
 		write("HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nother")
+	case blankInName:
+		write("HTTP/1.1 200 OK\r\nOdd Name: 1\r\nContent-Length: 5\r\n\r\nother")
 	case excessBytes:
 		write(complete + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
 	case interimResponse:
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -17,6 +17,7 @@
 	for head, want := range map[string]error{
 		"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n": nil,
 		"HTTP/1.1 000 OK\r\n":             ErrUnavailable,
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n": ErrUnavailable,
 	} {
 		t.Run(head, func(t *testing.T) {
 			c := NewClient(responder.Start(t, func(*fasthttp.Request) (string, bool) {
