scanner: a transfer coding in a version without any makes no response

What callers would see: an upstream responds in HTTP/1.0 with "Transfer-Encoding: chunked".

Cause: the codec ignores the field unless the version is HTTP/1.1. The body then has the length of the head, or ends with the connection. RFC 9112, section 6.1: such a message must be treated as if its framing were faulty.

Ruled out: a check of the parsed header, which no longer has the field.

Change: the scanner notes the minor version and the field, and rejects the head at its end.

--- a/internal/scanner/scanner.go
+++ b/internal/scanner/scanner.go
@@ -34,16 +34,29 @@
 	position int
 	// status is the value of the digits of the status code so far.
 	status int
+	// minor is the digit of the minor version.
+	minor byte
+	// matched is the number of bytes of transferEncoding that the current name begins with, -1 if
+	// the name is another one, and encoded is set if the head has that field.
+	matched int
+	encoded bool
 }
 
 // statusPattern is the status line up to the reason phrase. Each 0 stands for a digit.
 const statusPattern = "HTTP/1.0 000"
 
-// statusOffset is the offset of the status code in statusPattern.
-const statusOffset = len("HTTP/1.0 ")
+// minorOffset and statusOffset are the offsets of the minor version and of the status code in
+// statusPattern.
+const (
+	minorOffset  = len("HTTP/1.")
+	statusOffset = len("HTTP/1.0 ")
+)
+
+// transferEncoding is the name of the field with the transfer coding of a body, in lower case.
+const transferEncoding = "transfer-encoding"
 
 // NewTrailer returns a Head at the beginning of a trailer.
-func NewTrailer() Head { return Head{state: lineStart} }
+func NewTrailer() Head { return Head{state: lineStart, minor: '1'} }
 
 // Done reports whether the head is complete.
 func (h *Head) Done() bool { return h.state == done }
@@ -66,6 +79,9 @@
 			return i, errors.Annotatef(ErrMalformed, "byte %q in %s", []byte{c}, h.state)
 		}
 		h.state = next
+		if h.state == done && h.encoded && h.minor != '1' {
+			return i, errors.Annotatef(ErrMalformed, "transfer coding in version 1.%c", h.minor)
+		}
 	}
 	return len(p), nil
 }
@@ -86,11 +102,15 @@
 		if c == '\r' {
 			return headEnd, true
 		}
+		h.matched = 0
+		h.matchName(c)
 		return name, isToken(c)
 	case name:
 		if c == ':' {
+			h.encoded = h.encoded || h.matched == len(transferEncoding)
 			return value, true
 		}
+		h.matchName(c)
 		return name, isToken(c)
 	case headEnd:
 		return done, c == '\n'
@@ -98,6 +118,18 @@
 	return done, false
 }
 
+// matchName compares a byte of a field name with transferEncoding.
+func (h *Head) matchName(c byte) {
+	if 'A' <= c && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	if h.matched >= 0 && h.matched < len(transferEncoding) && c == transferEncoding[h.matched] {
+		h.matched++
+	} else {
+		h.matched = -1
+	}
+}
+
 // nextInStatusLine is next for a byte of the status line before the reason phrase. A status
 // line may end without one.
 func (h *Head) nextInStatusLine(c byte) (state, bool) {
@@ -115,6 +147,9 @@
 	case h.position == statusOffset && (c < '1' || c > '5'), c < '0', c > '9':
 		return statusLine, false
 	}
+	if h.position == minorOffset {
+		h.minor = c
+	}
 	if h.position >= statusOffset {
 		h.status = 10*h.status + int(c-'0')
 	}
--- a/runner/malformed_response_test.go
+++ b/runner/malformed_response_test.go
@@ -83,6 +83,8 @@
 		return soundStatus + soundFields + text + "\r\n" + soundRest, nil
 	case "rest":
 		return soundStatus + soundFields + text, nil
+	case "raw":
+		return text, nil
 	}
 	return "", fmt.Errorf("unknown command %q", command)
 }
