--- a/internal/scanner/scanner.go
+++ b/internal/scanner/scanner.go
@@ -67,8 +67,8 @@
 }
 
 // Scan scans the next bytes of the head and returns the number of those that belong to it. It
-// returns ErrMalformed at the first byte that the grammar does not allow, and no error for any
-// bytes after the end.
+// returns ErrMalformed at the first byte that the grammar does not allow, and at the end of a head
+// with a transfer coding in a version without any. It returns no error for bytes after the end.
 func (h *Head) Scan(p []byte) (int, error) {
 	for i, c := range p {
 		if h.state == done {
--- a/internal/scanner/scanner_test.go
+++ b/internal/scanner/scanner_test.go
@@ -46,7 +46,7 @@
 // returns the outcome.
 func scan(h Head, text string, size int) string {
 	rest, scanned := []byte(text+body), 0
-	if h.incomplete(text) {
+	if incomplete(h, text) {
 		rest = rest[:len(text)]
 	}
 	for len(rest) > 0 {
@@ -70,7 +70,7 @@
 }
 
 // incomplete reports whether more bytes of the head must follow a text.
-func (h Head) incomplete(text string) bool {
+func incomplete(h Head, text string) bool {
 	_, err := h.Scan([]byte(text))
 	return err == nil && !h.Done()
 }
@@ -85,7 +85,7 @@
 	t.Helper()
 	interim := h
 	_, _ = interim.Scan([]byte(text))
-	if !h.incomplete(text) {
+	if !incomplete(h, text) {
 		text += body
 	}
 	r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))
