--- a/internal/scanner/scanner_test.go
+++ b/internal/scanner/scanner_test.go
@@ -151,7 +151,7 @@
 // BenchmarkCheck checks the head of a typical response of an upstream.
 func BenchmarkCheck(b *testing.B) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 1024\r\n" +
-		"Request-Id: 9c41d07be2a35f68\r\nResponse-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nServer-Load: 3,0,8,100\r\n\r\n"
+		"Id: 9c41d07be2a35f68\r\nStamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nLoad: 3,0,8,100\r\n\r\n"
 	text := strings.NewReader(head)
 	r := bufio.NewReader(text)
 	for b.Loop() {
