router, platform, forwarder: customers and their keys

Cause: the gateway knew nothing of customers. Each request was forwarded with the caller's key, no key was checked, and a customer's priority was ignored.

Change: a configuration may have customers, each with a rank, a quota and the digests of its keys. A request of a configuration with customers needs a known key unless its route is anonymous, else it gets 401. Upstreams get the name of the customer, never the key. Keys are compared and exchanged as digests only.

--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -21,6 +21,12 @@
 	// SetTimeout sets the time left until the deadline of a request that is sent to
 	// another entry.
 	SetTimeout(h *fasthttp.RequestHeader, left time.Duration)
+	// Key returns the key of a customer that a request bears, and the number of its headers with
+	// keys. The key is valid until the header is changed.
+	Key(h *fasthttp.RequestHeader) (key []byte, count int)
+	// SetCustomer removes the keys and the names of customers from a request and sets a
+	// name, unless it is empty.
+	SetCustomer(h *fasthttp.RequestHeader, name string)
 	// ParseResponse parses the protocol headers of an upstream's response,
 	// received at now.
 	ParseResponse(h *fasthttp.ResponseHeader, now time.Time) ResponseInfo
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -20,6 +20,7 @@
 	errDraining     = errors.ConstError("entry is leaving")
 	errNoConfig     = errors.ConstError("no configuration is known yet")
 	errNoRoute      = errors.ConstError("no route matches")
+	errNoCustomer   = errors.ConstError("no customer has the key of the request")
 	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
 	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
@@ -47,6 +48,10 @@
 	id      []byte
 	route   *router.ActiveRoute
 	version int64
+	// customer is the customer whose key the request bears, nil if it bears none or an unknown
+	// one. hasCustomers is set if the configuration has customers.
+	customer     *router.Customer
+	hasCustomers bool
 	// serviceTime is the average service time of the route's requests, guarded
 	// by the service's lock.
 	serviceTime *placer.ServiceTime
@@ -248,7 +253,7 @@
 const minServiceFraction = 0.8
 
 func (x *exchange) queuePriority() limiter.Priority {
-	return limiter.Priority{Rank: x.route.Rank, Due: x.due, Latency: x.serviceTime.Average()}
+	return limiter.Priority{Rank: x.rank(), Due: x.due, Latency: x.serviceTime.Average()}
 }
 
 // place selects an upstream with a free slot. The request waits in the
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -306,17 +306,16 @@
 		return x, errNoConfig
 	}
 	host, uri := string(c.Request.Host()), string(c.Request.Header.RequestURI())
-	x.route = t.Find(host, uri)
-	if x.route == nil && f.options.Refresh != nil {
+	err := x.identify(t, host, uri)
+	if err != nil && f.options.Refresh != nil {
 		refreshCtx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 		f.options.Refresh(refreshCtx)
 		cancel()
 		t = f.table.Load()
-		x.route = t.Find(host, uri)
+		err = x.identify(t, host, uri)
 	}
-	x.version = t.Version()
-	if x.route == nil {
-		return x, errNoRoute
+	if err != nil {
+		return x, err
 	}
 	if limit := t.Limits().Body; limit > 0 && c.Body.Len() > limit {
 		return x, errBodyTooLarge
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -20,6 +20,7 @@
 	status int
 }{
 	{errNoRoute, fasthttp.StatusNotFound},
+	{errNoCustomer, fasthttp.StatusUnauthorized},
 	{errBodyTooLarge, fasthttp.StatusRequestEntityTooLarge},
 }
 
@@ -95,6 +96,8 @@
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
 	Rank                          int
+	// Customer is the name of the customer, empty if there is none.
+	Customer string
 	// RelayedTo are the addresses of the entries that the request was relayed to.
 	RelayedTo []string
 	// Fingerprint identifies the copies of a request in quarantine, empty for others.
@@ -137,7 +140,10 @@
 	if x.route == nil {
 		return r
 	}
-	r.Route, r.Rank, r.TimeLeft, r.RetryAfter = x.route.Name, x.route.Rank, x.deadline.Sub(now), x.retryAfter
+	if x.customer != nil {
+		r.Customer = x.customer.Name
+	}
+	r.Route, r.Rank, r.TimeLeft, r.RetryAfter = x.route.Name, x.rank(), x.deadline.Sub(now), x.retryAfter
 	if x.service == nil {
 		return r
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -200,6 +200,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	x.copyRequest(req)
 	req.Header.Del(headerRelayed)
+	x.setCustomer(&req.Header)
 	x.forwarder.options.Dialect.SetTarget(&req.Header, u.ID(), time.Until(x.deadline))
 	return c.Send(req)
 }
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -35,6 +35,22 @@
 	h.Set("Left", left.String())
 }
 
+func (testDialect) Key(h *fasthttp.RequestHeader) ([]byte, int) {
+	keys := h.PeekAll("Pass")
+	if len(keys) == 0 {
+		return nil, 0
+	}
+	return keys[0], len(keys)
+}
+
+func (testDialect) SetCustomer(h *fasthttp.RequestHeader, name string) {
+	h.Del("Pass")
+	h.Del("Customer")
+	if name != "" {
+		h.Set("Customer", name)
+	}
+}
+
 func (testDialect) SetTimeout(h *fasthttp.RequestHeader, left time.Duration) {
 	h.Set("Wait", left.String())
 }
--- a/reporter/requestlog.go
+++ b/reporter/requestlog.go
@@ -54,6 +54,9 @@
 	if v.Cause != "" {
 		attrs = append(attrs, "cause", v.Cause, "retry_after_ms", v.RetryAfter.Milliseconds())
 	}
+	if v.Customer != "" {
+		attrs = append(attrs, "customer", v.Customer)
+	}
 	if len(v.RelayedTo) > 0 {
 		attrs = append(attrs, "relayed_to", v.RelayedTo)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"strconv"
 	"testing"
@@ -77,6 +78,10 @@
 		{"routes[0].parts", func(s *Spec) { s.Routes[0].Targets = nil }},
 		{"routes[0].parts[0]", func(s *Spec) { s.Routes[0].Targets = []SplitTarget{{Service: "jobs", Weight: -1}} }},
 		{"routes[0].parts", func(s *Spec) { s.Routes[0].Targets = []SplitTarget{{Service: "jobs"}} }},
+		{"customers[0].name", func(s *Spec) { s.Customers = []Customer{{}} }},
+		{"customers[1].name", func(s *Spec) { s.Customers = []Customer{{Name: "a"}, {Name: "a"}} }},
+		{"customers[0].rate", func(s *Spec) { s.Customers = []Customer{{Name: "a", Rate: -1}} }},
+		{"customers[0].burst", func(s *Spec) { s.Customers = []Customer{{Name: "a", Burst: math.NaN()}} }},
 		{"services[0].name", func(s *Spec) { s.Services[0].Name = "" }},
 	} {
 		s := loadSpec(t, "testdata/small.json")
--- a/router/spec.go
+++ b/router/spec.go
@@ -17,7 +17,9 @@
 	Version  int64     `json:"version"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
-	Limits   Limits    `json:"limits"`
+	// Customers are those whose keys requests bear; empty if requests need no keys.
+	Customers []Customer `json:"customers,omitempty"`
+	Limits    Limits     `json:"limits"`
 }
 
 // Route describes how requests for one host and path prefix are served.
@@ -36,6 +38,8 @@
 	Objective time.Duration `json:"objective"`
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int `json:"rank"`
+	// Anonymous means that requests need no key of a customer.
+	Anonymous bool `json:"anonymous,omitempty"`
 	// Targets are the targets of the route's traffic split, at least one.
 	Targets []SplitTarget `json:"parts"`
 }
@@ -79,6 +83,9 @@
 			return err
 		}
 	}
+	if err := s.checkCustomers(); err != nil {
+		return err
+	}
 	for i, v := range s.Services {
 		if v.Name == "" {
 			return invalid(fmt.Sprintf("services[%d].name", i), "missing service name")
--- a/router/table.go
+++ b/router/table.go
@@ -12,6 +12,9 @@
 	// hosts maps a lower-case host name to its routes, longest prefix first.
 	hosts    map[string][]*ActiveRoute
 	services map[string]*Service
+	// customers maps the digest of each key to its customer.
+	customers     map[Digest]*Customer
+	ambiguousKeys int
 }
 
 // ActiveRoute is a route of a table with the state of its traffic split.
@@ -30,6 +33,7 @@
 		return nil, err
 	}
 	t := &Table{spec: s, hosts: make(map[string][]*ActiveRoute), services: make(map[string]*Service)}
+	t.customers, t.ambiguousKeys = customersByKey(t.spec.Customers)
 	for i := range t.spec.Services {
 		v := &t.spec.Services[i]
 		t.services[v.Name] = v
