apportioner, forwarder, runner: quotas of customers over all entries

Change: each entry estimates the shared token bucket of a customer and admits its portion by demand, with a spare rule for customers with few requests. Entries that are assigned to services exchange cumulative counters. Requests over the quota get 429 with a Retry-After with jitter.

--- a/forwarder/customer.go
+++ b/forwarder/customer.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/router"
@@ -47,3 +49,26 @@
 	}
 	x.forwarder.options.Dialect.SetCustomer(h, name)
 }
+
+// countQuota admits the request to the quota of its customer, once. A request that another entry
+// serves is counted there. It returns errOverQuota if the quota is used up.
+func (x *exchange) countQuota() error {
+	if x.forwarder.options.Quota == nil || x.customer == nil || !x.customer.Limited() || !x.countedAt.IsZero() {
+		return nil
+	}
+	now := time.Now()
+	d := x.forwarder.options.Quota.Admit(now, x.customer.Name)
+	if !d.Admitted {
+		x.retryAfter, x.quota = d.RetryAfter, &d
+		return errOverQuota
+	}
+	x.countedAt = now
+	return nil
+}
+
+// returnUnusedQuota returns the admission to the quota if the request was sent to no upstream.
+func (x *exchange) returnUnusedQuota() {
+	if !x.countedAt.IsZero() && len(x.attempted) == 0 {
+		x.forwarder.options.Quota.Return(time.Now(), x.customer.Name)
+	}
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/apportioner"
 	"poplarwind/limiter"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
@@ -20,6 +21,7 @@
 	errDraining     = errors.ConstError("entry is leaving")
 	errNoConfig     = errors.ConstError("no configuration is known yet")
 	errNoRoute      = errors.ConstError("no route matches")
+	errOverQuota    = errors.ConstError("quota of the customer is used up")
 	errNoCustomer   = errors.ConstError("no customer has the key of the request")
 	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
@@ -52,6 +54,11 @@
 	// one. hasCustomers is set if the configuration has customers.
 	customer     *router.Customer
 	hasCustomers bool
+	// countedAt is when the request was admitted to the quota of the customer, zero if it was
+	// not.
+	countedAt time.Time
+	// quota is the decision that rejected the request, nil if there was none.
+	quota *apportioner.Decision
 	// serviceTime is the average service time of the route's requests, guarded
 	// by the service's lock.
 	serviceTime *placer.ServiceTime
@@ -129,6 +136,9 @@
 		if x.cutOff() {
 			return x.relay()
 		}
+		if err := x.countQuota(); err != nil {
+			return x.fail(err)
+		}
 		cand, err := x.place()
 		if errors.Is(err, errCutOff) {
 			continue
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"poplarwind/apportioner"
 	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
@@ -27,6 +28,14 @@
 	Window           time.Duration
 }
 
+// Quota decides which requests are within the quotas of customers.
+type Quota interface {
+	// Admit decides whether a request of the customer is within the quota.
+	Admit(now time.Time, customer string) apportioner.Decision
+	// Return returns the admission of a request that was sent to no upstream.
+	Return(now time.Time, customer string)
+}
+
 // EntrySet describes the set of entries and the role of this one.
 type EntrySet struct {
 	// Total is the number of entries, and Assigned the number of entries
@@ -77,6 +86,9 @@
 	// in which they are to be tried for a request for a service while this entry does
 	// not. Nil means that there are none.
 	Relays func(service string) []string
+	// Quota decides which requests of customers are within their quotas. Nil means that there
+	// are none.
+	Quota Quota
 	// Refresh loads the newest configuration that is available before ctx
 	// expires. It is called when a request matches no route. Nil disables it.
 	Refresh func(ctx context.Context)
@@ -288,6 +300,7 @@
 	res := result{err: err}
 	if err == nil {
 		res = x.run()
+		x.returnUnusedQuota()
 	}
 	x.respond(res)
 	if f.options.OnComplete != nil {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/apportioner"
 	"poplarwind/internal/sanitizer"
 	"poplarwind/placer"
 )
@@ -21,6 +22,7 @@
 }{
 	{errNoRoute, fasthttp.StatusNotFound},
 	{errNoCustomer, fasthttp.StatusUnauthorized},
+	{errOverQuota, fasthttp.StatusTooManyRequests},
 	{errBodyTooLarge, fasthttp.StatusRequestEntityTooLarge},
 }
 
@@ -54,7 +56,7 @@
 	if x.relayed && len(x.attempted) > 0 {
 		resp.Header.Set(headerAttempts, strconv.Itoa(len(x.attempted)))
 	}
-	if status == fasthttp.StatusServiceUnavailable {
+	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
 		retryAfter := max(x.retryAfter, minRetryAfter)
 		resp.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -96,8 +98,10 @@
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
 	Rank                          int
-	// Customer is the name of the customer, empty if there is none.
+	// Customer is the name of the customer, empty if there is none, and Quota the decision by
+	// which the request is beyond its quota, nil if it is not.
 	Customer string
+	Quota    *apportioner.Decision
 	// RelayedTo are the addresses of the entries that the request was relayed to.
 	RelayedTo []string
 	// Fingerprint identifies the copies of a request in quarantine, empty for others.
@@ -141,7 +145,7 @@
 		return r
 	}
 	if x.customer != nil {
-		r.Customer = x.customer.Name
+		r.Customer, r.Quota = x.customer.Name, x.quota
 	}
 	r.Route, r.Rank, r.TimeLeft, r.RetryAfter = x.route.Name, x.rank(), x.deadline.Sub(now), x.retryAfter
 	if x.service == nil {
--- a/parser/gateway.go
+++ b/parser/gateway.go
@@ -16,6 +16,7 @@
 	Cores                float64       `json:"cores"`
 	LinkMbps             float64       `json:"link"`
 	Bootstrap            bool          `json:"first"`
+	QuotaTolerance       float64       `json:"tolerance"`
 }
 
 func (d *document) checkGateway(g *gatewaySpec) error {
@@ -34,6 +35,7 @@
 		checkRange(d, "gateway.memory", g.MemoryLimitMiB, 0, 1<<20),
 		checkRange(d, "gateway.cores", g.Cores, 0, 1024),
 		checkRange(d, "gateway.link", g.LinkMbps, 0, 1e6),
+		checkRange(d, "gateway.tolerance", g.QuotaTolerance, 0, 1e6),
 	)
 }
 
@@ -84,5 +86,9 @@
 // that there are no callers yet.
 func (g Gateway) Bootstrap() bool { return g.spec.Bootstrap }
 
+// QuotaTolerance returns the number of requests by which all entries together may exceed the quota of
+// a customer in a few seconds, 0 if none.
+func (g Gateway) QuotaTolerance() float64 { return g.spec.QuotaTolerance }
+
 // MemoryLimitMiB returns the memory limit of the process in MiB, 0 if unlimited.
 func (g Gateway) MemoryLimitMiB() int { return g.spec.MemoryLimitMiB }
--- a/reporter/requestlog.go
+++ b/reporter/requestlog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync/atomic"
 
 	"golang.org/x/time/rate"
@@ -57,6 +58,9 @@
 	if v.Customer != "" {
 		attrs = append(attrs, "customer", v.Customer)
 	}
+	if d := v.Quota; d != nil {
+		attrs = append(attrs, slog.Group("quota", "level", round(d.Level), "portion", round(d.Portion), "fraction", round(d.Fraction), "demand", round(d.Demand), "total", round(d.Total), "isolated", d.Isolated))
+	}
 	if len(v.RelayedTo) > 0 {
 		attrs = append(attrs, "relayed_to", v.RelayedTo)
 	}
@@ -71,3 +75,6 @@
 	}
 	l.log.Log(context.Background(), level, msg, attrs...)
 }
+
+// round rounds to two decimals.
+func round(v float64) float64 { return math.Round(100*v) / 100 }
--- a/runner/apply.go
+++ b/runner/apply.go
@@ -47,6 +47,7 @@
 		if !g.forwarder.Configure(t) {
 			continue
 		}
+		g.quotas.configure(time.Now(), c.Config)
 		g.log.Info("configuration in force", "version", t.Version(), "rev", c.Revision, "routes", len(c.Config.Routes), "customers", len(c.Config.Customers))
 		if n := t.AmbiguousKeys(); n > 0 {
 			g.log.Warn("keys belong to several customers, the first one has them", "version", t.Version(), "keys", n)
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -32,6 +32,10 @@
 	return time.Second, true
 }
 
+func (clusterDialect) Key(*fasthttp.RequestHeader) ([]byte, int) { return nil, 0 }
+
+func (clusterDialect) SetCustomer(*fasthttp.RequestHeader, string) {}
+
 func (clusterDialect) SetTarget(*fasthttp.RequestHeader, string, time.Duration) {}
 
 func (clusterDialect) SetTimeout(*fasthttp.RequestHeader, time.Duration) {}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"poplarwind/announcer"
+	"poplarwind/apportioner"
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/internal/acceptor"
@@ -50,6 +51,7 @@
 	announcer   *announcer.Announcer
 	forwarder   *forwarder.Forwarder
 	quarantiner *quarantiner.Quarantiner
+	quotas      *quotaExchange
 	reach       *reacher.Reach
 	monitor     *reacher.Monitor
 	requestLog  *reporter.RequestLogger
@@ -137,12 +139,13 @@
 		Table: quarantine, Peers: g.announcer, Store: g.store, Self: p.Name(), Domain: p.Domain(),
 		Live: func() []announcer.Member { return g.table.Live(time.Now()) }, Contacts: g.contacts, Era: g.storeEra, Initial: o.Bootstrap(), Log: log,
 	})
+	g.quotas = newQuotaExchange(apportioner.New(start, p.Name(), start.UnixNano(), quotaSlackFraction*o.QuotaTolerance()))
 	g.requestLog = reporter.NewRequestLogger(log)
 	ratio, extra, window := o.RetryBudget()
 	g.forwarder = forwarder.New(forwarder.Options{
 		Dialect: platform.Dialect{Unread: unread}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Budget: budget, Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
-		Quarantine:  quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
+		Quota:       g.quotas.table, Quarantine: quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 	})
 	g.monitor = reacher.NewMonitor(reacher.Options{
@@ -298,7 +301,7 @@
 		ctx,
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.quarantiner.Run, g.monitor.Run,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.exchangeQuotas, g.quarantiner.Run, g.monitor.Run,
 	)
 }
 
--- a/runner/peer.go
+++ b/runner/peer.go
@@ -16,6 +16,8 @@
 		return g.receiveLimits(body)
 	case pathLeaving:
 		return g.receiveLeaving(body)
+	case pathQuotas:
+		return g.receiveQuotas(body)
 	case quarantiner.Path:
 		return g.quarantiner.Serve(body)
 	case reacher.Path:
--- a/runner/shutdown.go
+++ b/runner/shutdown.go
@@ -35,6 +35,7 @@
 	g.announcer.AnnounceDrain(ctx)
 	sleeper.Sleep(ctx, time.Until(start.Add(time.Duration(acceptFraction*float64(deadline.Sub(start))))))
 	g.forwarder.RejectNew()
+	g.leaveQuotas(ctx)
 	if err := g.callersListener.Close(); err != nil {
 		g.log.Warn("closing the callers' listener failed", "error", err.Error())
 	}
