apportioner: smaller portions while an entry does not know the others

Each began with an eighth of the quota, and about 30 of them received requests: 1,880 requests of a customer ran in 5 s where 1,782 are allowed (QUOTA).

Change: a thirty-second of the quota before the first report of another entry, at most an eighth in the first 3.5 s.

--- a/apportioner/table.go
+++ b/apportioner/table.go
@@ -23,10 +23,10 @@
 	isolatedFraction = 0.6
 	// startTime is the time after its start in which an entry learns of the others. Until
 	// then it has at most startFraction of a quota, and unheardFraction while it has heard
-	// from none.
+	// from none: all entries may have been restarted, and 30 of them get requests.
 	startTime       = 3500 * time.Millisecond
-	startFraction   = 1.0 / 3
-	unheardFraction = 1.0 / 8
+	startFraction   = 1.0 / 8
+	unheardFraction = 1.0 / 32
 	// minRetryAfter and maxRetryAfter bound the time after which a rejected request may come
 	// again, and retryJitter is the greatest fraction by which it is prolonged at random.
 	minRetryAfter = 50 * time.Millisecond
--- a/apportioner/table_test.go
+++ b/apportioner/table_test.go
@@ -190,6 +190,11 @@
 			}
 		}},
 		{name: "all killed", entries: 8, limit: Limit{100, 100}, least: 0.7, disturb: func(f *fleet) { f.kill([]int{0, 1, 2, 3, 4, 5, 6, 7}, time.Second) }},
+		{name: "30 entries, all killed", entries: 30, limit: Limit{270, 270}, least: 0.7, interval: 500 * time.Millisecond, disturb: func(f *fleet) {
+			for i := range f.tables {
+				f.kill([]int{i}, time.Second)
+			}
+		}},
 		{name: "half killed", entries: 8, limit: Limit{100, 100}, least: 0.75, disturb: func(f *fleet) { f.kill([]int{0, 1, 2, 3}, 2*time.Second) }},
 		{name: "a third cut off", entries: 12, limit: Limit{100, 100}, least: 0.75, disturb: func(f *fleet) {
 			f.cut = map[int]bool{0: true, 1: true, 2: true, 3: true}
