apportioner: an entry that starts takes levels of settled entries only

Change: levels of entries that start are ignored; what an entry has admitted since a recent start is subtracted at its first report.

--- a/apportioner/table.go
+++ b/apportioner/table.go
@@ -388,7 +388,7 @@
 func (t *Table) Report(now time.Time, partial bool) Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := Message{From: t.self, Epoch: t.epoch, Settled: !t.starting(now) || t.heard, Leaving: t.leaving, Partial: partial}
+	m := Message{From: t.self, Epoch: t.epoch, Settled: !t.starting(now), Leaving: t.leaving, Partial: partial}
 	for name, c := range t.customers {
 		demand := c.decayed(now)
 		if demand < idleDemand || partial && !t.urgent(now, c) {
@@ -477,8 +477,10 @@
 }
 
 // apply applies one count of a peer. What a peer had admitted before the first report that is
-// received of it, or of the customer, is not known to be recent, so it is not subtracted. An entry
-// that starts takes the lowest level that another states. The lock must be held.
+// received of it, or of the customer, is not known to be recent, so it is not subtracted unless the
+// peer was started just now. An entry that starts takes the lowest level that one states which does
+// not: those of entries that start at the same time are no better than its own. The lock must be
+// held.
 func (t *Table) apply(now time.Time, p *peer, n *Count, first, settled bool) {
 	_, known := t.customers[n.Customer]
 	c := t.find(now, n.Customer)
@@ -493,10 +495,10 @@
 		// What a silent peer was expected to admit was not refilled.
 		c.subtract(more - count.rate*max(0, elapsed-silenceTime).Seconds())
 		count.update(more, elapsed)
-	case !settled || !t.starting(now):
-	case !t.heard || !known:
-		c.level = n.Level
-	default:
+	case !settled:
+		// The peer was started just now, so all that it has admitted is recent.
+		c.subtract(float64(n.Admitted))
+	case t.starting(now):
 		c.level = min(c.level, n.Level)
 	}
 	count.admitted, count.demand = n.Admitted, n.Demand
