forwarder, pipeliner: flows in the admission queue, slots by load, Retry-After with jitter

Cause: all callers shared one queue, so that a flood of one delayed all. Each assigned entry expected an equal part of the slots, so that the busiest rejected too early. Rejected requests returned at the same time. A request whose caller left between dequeue and send was sent.

Change: a customer, or the caller's IP address, is the flow of a request. With customers, late requests come after all that can be in time. The expected wait uses the entry's load fraction where it is known. Retry-After has jitter, and after a withdrawal states the wait of a request that arrives then. The caller is checked before a dequeued request is placed and sent.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/apportioner"
-	"poplarwind/limiter"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/quarantiner"
@@ -68,6 +67,8 @@
 	// deadline. deadline is when the shorter of the caller's and the route's
 	// timeouts expires.
 	due, deadline time.Time
+	// flow is the flow of the request in the admission queue.
+	flow uint64
 	// dequeued receives a value when the request is removed from the admission
 	// queue to be placed.
 	dequeued chan struct{}
@@ -262,10 +263,6 @@
 // response is unlikely.
 const minServiceFraction = 0.8
 
-func (x *exchange) queuePriority() limiter.Priority {
-	return limiter.Priority{Rank: x.rank(), Due: x.due, Latency: x.serviceTime.Average()}
-}
-
 // place selects an upstream with a free slot. The request waits in the
 // admission queue if there is none or if other requests precede it. place
 // returns an error as soon as the response is expected to miss the deadline.
@@ -299,6 +296,10 @@
 			if err := x.awaitDequeue(); err != nil {
 				return candidate{}, err
 			}
+			if x.caller.Err() != nil {
+				x.endPlacement()
+				return candidate{}, errDisconnected
+			}
 		}
 		cand := x.pick(queued)
 		if queued {
@@ -342,6 +343,7 @@
 		s.mu.Unlock()
 		return errNoSlot
 	}
+	s.queue.LateLast = x.hasCustomers
 	s.queue.Push(x, p)
 	s.scheduleDispatch()
 	s.mu.Unlock()
@@ -366,7 +368,7 @@
 				err = errNoSlot
 			}
 		}
-		if err != nil && x.withdraw(wait) {
+		if err != nil && x.withdraw() {
 			return err
 		}
 	}
@@ -381,14 +383,20 @@
 	return now.Add(s.estimateWait(now, s.queue.Ahead(now, x.queuePriority())) + x.minServiceTime()).After(x.deadline)
 }
 
-// withdraw sets the Retry-After value and removes the request from the queue.
-// It reports false if the request was already dequeued.
-func (x *exchange) withdraw(wait time.Duration) bool {
+// withdraw removes the request from the queue and sets the Retry-After value to the expected
+// wait of a request that arrives now. It reports false if the request was already dequeued.
+func (x *exchange) withdraw() bool {
 	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x.retryAfter = max(minRetryAfter, wait)
-	return s.queue.Remove(x)
+	if !s.queue.Remove(x) {
+		return false
+	}
+	now := time.Now()
+	p := x.queuePriority()
+	p.Due = p.Due.Add(now.Sub(x.call.ArrivedAt))
+	x.retryAfter = max(minRetryAfter, s.estimateWait(now, s.queue.Ahead(now, p)+1))
+	return true
 }
 
 // minRetryAfter is the least Retry-After value of a rejection. A shorter one
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -335,6 +335,7 @@
 	}
 	x.setDeadlines()
 	x.parseRelayed()
+	x.flow = x.queueFlow()
 	name := x.route.NextService()
 	x.service = f.service(name)
 	if svc := t.Service(name); svc != nil {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -57,8 +57,8 @@
 		resp.Header.Set(headerAttempts, strconv.Itoa(len(x.attempted)))
 	}
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
-		retryAfter := max(x.retryAfter, minRetryAfter)
-		resp.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		x.setRetryAfter(res.err)
+		resp.Header.Set("Retry-After", strconv.FormatFloat(x.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(struct {
 		Error string `json:"error"`
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -66,6 +66,9 @@
 	case cand.conn == nil:
 		x.unreachable = append(x.unreachable, cand.upstream)
 		o.err = cand.err
+	case x.caller.Err() != nil:
+		x.forwarder.pool.Put(cand.conn)
+		o.disconnected, o.err = true, errDisconnected
 	case x.quarantined():
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errQuarantined
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -42,6 +42,8 @@
 	lost map[*placer.Upstream][]lostRequest
 	// assignedEntries is the number of entries assigned to the service.
 	assignedEntries int
+	// slotFraction is the fraction of the slots of all upstreams that this entry can expect.
+	slotFraction float64
 }
 
 const (
@@ -133,6 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.assignedEntries = max(1, entries.Assigned)
+	s.slotFraction = slotFraction(entries)
 	for scope, fraction := range entries.ProbeFraction {
 		s.fleet.ProbeRates[scope] = fraction * o.ProbeRate
 	}
@@ -155,11 +158,10 @@
 // The lock must be held.
 func (s *service) dispatchQueued(now time.Time) {
 	for s.placing < maxPlacing {
-		x, ok := s.queue.First(now)
+		x, ok := s.queue.Pop(now)
 		if !ok {
 			return
 		}
-		s.queue.Remove(x)
 		s.placing++
 		x.dequeued <- struct{}{}
 	}
@@ -193,7 +195,7 @@
 // estimateWait estimates how long a request waits for a slot at this entry,
 // given the number of requests ahead of it.
 func (s *service) estimateWait(now time.Time, ahead int) time.Duration {
-	slots := float64(s.fleet.Slots(now))/float64(s.assignedEntries) + s.fleet.LimitedSlots(now)
+	slots := float64(s.fleet.Slots(now))*s.slotFraction + s.fleet.LimitedSlots(now)
 	if slots <= 0 {
 		if wait, paused := s.fleet.PauseLeft(now); paused {
 			return wait
--- a/pipeliner/call.go
+++ b/pipeliner/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,6 +24,8 @@
 	Response *fasthttp.Response
 	// ArrivedAt is when the first bytes of the request were read.
 	ArrivedAt time.Time
+	// Caller is the IP address of the caller, the zero value if it is not known.
+	Caller netip.Addr
 }
 
 // Handler serves calls. Both methods are called concurrently.
--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 type conn struct {
 	server *Server
 	net    net.Conn
+	// caller is the IP address of the caller.
+	caller netip.Addr
 	// ctx ends when the caller has disconnected.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -88,7 +91,7 @@
 			}
 		}
 		p := newPendingCall()
-		p.ArrivedAt = time.Now()
+		p.ArrivedAt, p.Caller = time.Now(), c.caller
 		c.setReceiving(p.ArrivedAt)
 		var err error
 		if r, err = c.read(r, p); err != nil && !c.failRead(p, err) {
@@ -159,6 +162,14 @@
 	}
 }
 
+// callerOf returns the IP address of the other end of a connection, the zero value if it is not known.
+func callerOf(n net.Conn) netip.Addr {
+	if a, ok := n.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -127,7 +127,7 @@
 
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(n net.Conn) {
-	c := &conn{server: s, net: n, changed: make(chan struct{}, 1)}
+	c := &conn{server: s, net: n, caller: callerOf(n), changed: make(chan struct{}, 1)}
 	if !s.add(c) {
 		acceptor.TurnAway(n)
 		return
