reporter, forwarder: waits in the admission queue and rejections by rank and cause

Cause: whether a rank waits or is rejected more than others was visible in log lines only.

Change: a histogram poplarwind.queue.wait by rank and a counter poplarwind.rejections by rank and cause. Ranks above 9 and unknown causes share one value. The wait of a request that is rejected after it was queued counts as well.

Measured: go test ./reporter ./forwarder passes.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -74,3 +74,18 @@
 	}
 	x.retryAfter = (x.retryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
 }
+
+// rejectionCauses holds the causes for which this entry rejects requests.
+var rejectionCauses = []error{
+	errDraining, errNoConfig, errNoRoute, errOverQuota, errNoCustomer, errBodyTooLarge, errNoSlot, errRateLimited, errPaused, errBarred,
+	errQuarantined, errCutOff, errNoUpstream, errDisconnected, errTimeout, errNoRetry,
+}
+
+// RejectionCauses returns the causes of rejections as in Record.Cause. Metrics have no others as values.
+func RejectionCauses() []string {
+	out := make([]string, 0, len(rejectionCauses))
+	for _, err := range rejectionCauses {
+		out = append(out, err.Error())
+	}
+	return out
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -96,7 +96,7 @@
 	// arrives.
 	fallback *fasthttp.Response
 	// retryAfter is the Retry-After value of a rejection. queueTime is the
-	// time from arrival until the request was last dequeued.
+	// time from arrival until the request last left the admission queue.
 	retryAfter, queueTime time.Duration
 }
 
@@ -393,6 +393,7 @@
 		return false
 	}
 	now := time.Now()
+	x.queueTime = now.Sub(x.call.ArrivedAt)
 	p := x.queuePriority()
 	p.Due = p.Due.Add(now.Sub(x.call.ArrivedAt))
 	x.retryAfter = max(minRetryAfter, s.estimateWait(now, s.queue.Ahead(now, p)+1))
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -92,8 +92,8 @@
 	// Version is the version of the configuration that the request was routed
 	// with.
 	Version int64
-	// QueueTime is the time from arrival until the request was last dequeued, 0
-	// if it was not queued or never dequeued. Duration is the time from arrival
+	// QueueTime is the time from arrival until the request last left the admission
+	// queue, 0 if it was not queued. Duration is the time from arrival
 	// to the response, and TimeLeft the time that remained until the deadline.
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -68,6 +68,7 @@
 	scrape  fasthttp.RequestHandler
 	reports reportLimiter
 	latency metric.Float64Histogram
+	queue   *queueMetrics
 
 	mu sync.RWMutex
 	// options caches the attribute set of each outcome, so that it is not built
@@ -97,6 +98,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if g.queue, err = newQueueMetrics(meter); err != nil {
+		return nil, err
+	}
 	if err := g.registerCounters(meter); err != nil {
 		return nil, err
 	}
@@ -303,6 +307,7 @@
 		g.mu.Unlock()
 	}
 	g.latency.Record(context.Background(), r.Duration.Seconds(), option)
+	g.queue.observe(r)
 }
 
 // GatewayStatus is the state of an entry on the users' platform.
