--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -75,6 +75,23 @@
 	x.retryAfter = (x.retryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
 }
 
+// WaitEstimate is an estimate of the wait in the admission queue, and what it follows from.
+type WaitEstimate struct {
+	// Ahead is the number of requests ahead, Slots the number of slots that the entry can expect,
+	// and Latency the average latency of requests.
+	Ahead         int
+	Slots         float64
+	Latency, Wait time.Duration
+}
+
+// estimateWait estimates the wait of the request with a number of requests ahead of it, and records
+// the estimate for the log. The lock of the service must be held.
+func (x *exchange) estimateWait(now time.Time, ahead int) time.Duration {
+	s := x.service
+	x.estimate = WaitEstimate{Ahead: ahead, Slots: s.expectedSlots(now), Latency: s.fleet.AverageLatency(), Wait: s.estimateWait(now, ahead)}
+	return x.estimate.Wait
+}
+
 // rejectionCauses holds the causes for which this entry rejects requests.
 var rejectionCauses = []error{
 	errDraining, errNoConfig, errNoRoute, errOverQuota, errNoCustomer, errBodyTooLarge, errNoSlot, errRateLimited, errPaused, errBarred,
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -98,6 +98,8 @@
 	// retryAfter is the Retry-After value of a rejection. queueTime is the
 	// time from arrival until the request last left the admission queue.
 	retryAfter, queueTime time.Duration
+	// estimate is the last estimate of the wait in the admission queue.
+	estimate WaitEstimate
 }
 
 // defaultTimeout applies if the caller specifies no timeout.
@@ -337,7 +339,7 @@
 	s.mu.Lock()
 	now := time.Now()
 	p := x.queuePriority()
-	wait := s.estimateWait(now, s.queue.Ahead(now, p)+1)
+	wait := x.estimateWait(now, s.queue.Ahead(now, p)+1)
 	if now.Add(wait + x.minServiceTime()).After(x.deadline) {
 		x.retryAfter = max(minRetryAfter, wait)
 		s.mu.Unlock()
@@ -380,7 +382,7 @@
 	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Add(s.estimateWait(now, s.queue.Ahead(now, x.queuePriority())) + x.minServiceTime()).After(x.deadline)
+	return now.Add(x.estimateWait(now, s.queue.Ahead(now, x.queuePriority())) + x.minServiceTime()).After(x.deadline)
 }
 
 // withdraw removes the request from the queue and sets the Retry-After value to the expected
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -98,6 +98,8 @@
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
 	Rank                          int
+	// Estimate is the estimate by which no upstream has a slot in time, nil if that is not the cause.
+	Estimate *WaitEstimate
 	// Customer is the name of the customer, empty if there is none, and Quota the decision by
 	// which the request is beyond its quota, nil if it is not.
 	Customer string
@@ -152,6 +154,9 @@
 		return r
 	}
 	r.Service, r.RelayedTo = x.service.name, x.relayedTo
+	if errors.Is(res.err, errNoSlot) {
+		r.Estimate = &x.estimate
+	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	for _, u := range x.attempted {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -192,10 +192,15 @@
 	s.dispatchQueued(now)
 }
 
+// expectedSlots returns the number of slots that this entry can expect.
+func (s *service) expectedSlots(now time.Time) float64 {
+	return float64(s.fleet.Slots(now))*s.slotFraction + s.fleet.LimitedSlots(now)
+}
+
 // estimateWait estimates how long a request waits for a slot at this entry,
 // given the number of requests ahead of it.
 func (s *service) estimateWait(now time.Time, ahead int) time.Duration {
-	slots := float64(s.fleet.Slots(now))*s.slotFraction + s.fleet.LimitedSlots(now)
+	slots := s.expectedSlots(now)
 	if slots <= 0 {
 		if wait, paused := s.fleet.PauseLeft(now); paused {
 			return wait
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -136,6 +137,8 @@
 	load map[string]int
 	// work is how long each upstream takes for a request without a fault.
 	work time.Duration
+	// probeTime is the longest time that each upstream takes for a load probe.
+	probeTime time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
@@ -220,6 +223,7 @@
 		if tb.reached != nil {
 			tb.reached[addr]++
 		}
+		probeTime := time.Duration(rand.Float64() * float64(tb.probeTime))
 		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes, ""
 		if tb.leavingProbes {
 			leaving = "Leaving: 1\r\n"
@@ -229,6 +233,7 @@
 			if unresponsive {
 				continue
 			}
+			time.Sleep(probeTime)
 			if pausing {
 				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
 				return
--- a/reporter/requestlog.go
+++ b/reporter/requestlog.go
@@ -61,6 +61,9 @@
 	if d := v.Quota; d != nil {
 		attrs = append(attrs, slog.Group("quota", "level", round(d.Level), "portion", round(d.Portion), "fraction", round(d.Fraction), "demand", round(d.Demand), "total", round(d.Total), "isolated", d.Isolated))
 	}
+	if e := v.Estimate; e != nil {
+		attrs = append(attrs, slog.Group("queue", "ahead", e.Ahead, "slots", round(e.Slots), "latency_ms", e.Latency.Milliseconds(), "wait_ms", e.Wait.Milliseconds()))
+	}
 	if len(v.RelayedTo) > 0 {
 		attrs = append(attrs, "relayed_to", v.RelayedTo)
 	}
