limiter: scripts for shares, flows and late requests in the admission queue

Cause: with the share of late requests or the rounds of the estimate removed no test failed.

Change: scripts state the order and the estimate for floods, guaranteed fractions and late requests, and random queues are compared with sorted lists. Credits that rounding leaves short of a whole suffice. The scripts pop with Pop, as entries do.

Measured: each of nine mutations (no share of ranks, of late requests, no turns, no jitter, never late, order or estimate without LateLast, estimate without rounds, resting or rank share, an off-by-one in depthCounts) fails a test.

--- a/limiter/admission_queue.go
+++ b/limiter/admission_queue.go
@@ -275,6 +275,14 @@
 	return rank, class
 }
 
+// suffices reports whether a credit covers the next request of a class. Credits are sums of fractions,
+// which rounding must not leave short of a whole.
+func suffices[T comparable](credit float64, c *queueClass[T]) bool {
+	return credit >= (1-creditError)*c.next().first.priority.cost()
+}
+
+const creditError = 1e-9
+
 // choose returns the class of the next request, nil if the queue is empty.
 func (q *Queue[T]) choose() (*queueRank[T], *queueClass[T]) {
 	first, class := q.ordinary()
@@ -282,11 +290,11 @@
 		return nil, nil
 	}
 	for _, r := range q.ranks {
-		if c := q.waiting(r); r != first && c != nil && r.credit >= c.next().first.priority.cost() {
+		if c := q.waiting(r); r != first && c != nil && suffices(r.credit, c) {
 			return r, c
 		}
 	}
-	if r, c := q.oldestLate(); c != nil && q.lateCredit >= c.next().first.priority.cost() {
+	if r, c := q.oldestLate(); c != nil && suffices(q.lateCredit, c) {
 		return r, c
 	}
 	return first, class
--- a/limiter/admission_queue_test.go
+++ b/limiter/admission_queue_test.go
@@ -11,8 +11,9 @@
 )
 
 // TestQueueOrderOfSingleRequests compares the order of a queue in which each flow has at most one
-// request with that of a sorted list, under random pushes, removals and pops. It guards against
-// fair queueing that changes the order where there is nothing to divide.
+// request with that of a sorted list, under random pushes, removals and pops, and the estimates with
+// the numbers of requests ahead. It guards against fair queueing that changes the order or the
+// estimate where there is nothing to divide.
 func TestQueueOrderOfSingleRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		lateLast := rapid.Bool().Draw(t, "late last")
@@ -67,6 +68,21 @@
 			if q.Len() != len(waiting) {
 				t.Fatalf("length: got: %d want: %d", q.Len(), len(waiting))
 			}
+			for v, p := range waiting {
+				ahead, outranked := 0, false
+				for w, r := range waiting {
+					if compare(w, v) < 0 && (r.Rank != p.Rank || r.late(now) != p.late(now) || r.Due.Before(p.Due)) {
+						ahead++
+						outranked = outranked || r.Rank != p.Rank || r.late(now) != p.late(now)
+					}
+				}
+				// The guaranteed fractions take slots from the requests ahead, and give some to those
+				// behind other classes.
+				got := q.Ahead(now, p)
+				if got > ahead+ahead/7 || (got == 0) != (ahead == 0) || got < ahead && !outranked {
+					t.Fatalf("ahead: got: %d want: %d", got, ahead)
+				}
+			}
 		}
 	})
 }
@@ -176,3 +192,24 @@
 		b.Fatal(fmt.Errorf("got: %d want: 10000", q.Len()))
 	}
 }
+
+// TestDepthCounts compares sums with those of a slice, under random changes. It guards against estimates
+// that miss flows with many requests.
+func TestDepthCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d depthCounts
+		var want [100]int
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			depth, n := rapid.IntRange(1, len(want)).Draw(t, "depth"), rapid.IntRange(-3, 3).Draw(t, "n")
+			d.add(depth, n)
+			want[depth-1] += n
+			sum := 0
+			for i, n := range want {
+				sum += n
+				if got := d.sum(i + 1); got != sum || d.count(i+1) != n {
+					t.Fatalf("depth %d: got: sum %d, count %d want: %d, %d", i+1, got, d.count(i+1), sum, n)
+				}
+			}
+		}
+	})
+}
--- a/limiter/scripts_test.go
+++ b/limiter/scripts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,7 +11,8 @@
 )
 
 // TestAdmissionQueue runs scripts that push requests to an admission queue and
-// pop them. Times are in milliseconds.
+// pop them. Times are in milliseconds. Fill pushes several requests with successive
+// due times, and take pops several and counts them by what they were filled with.
 func TestAdmissionQueue(t *testing.T) {
 	scripter.Run(t, "testdata/queue*.txt", func(t *testing.T) func([]string) string {
 		var q Queue[string]
@@ -27,19 +29,41 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			return Priority{Rank: rank, Due: epoch.Add(ms(args[1])), Latency: ms(args[2])}
+			p := Priority{Rank: rank, Due: epoch.Add(ms(args[1])), Latency: ms(args[2])}
+			if len(args) > 3 {
+				p.Flow = uint64(ms(args[3]))
+			}
+			return p
 		}
 		return func(args []string) string {
 			switch args[0] {
 			case "push":
 				q.Push(args[1], priority(args[2:]))
 				return ""
+			case "late_last":
+				q.LateLast = true
+				return ""
+			case "fill":
+				p := priority(args[3:])
+				for i := range int(ms(args[2]) / time.Millisecond) {
+					q.Push(fmt.Sprint(args[1], i), p)
+					p.Due = p.Due.Add(time.Millisecond)
+				}
+				return ""
+			case "take":
+				counts := make(map[string]int)
+				for range int(ms(args[2]) / time.Millisecond) {
+					v, _ := q.Pop(epoch.Add(ms(args[1])))
+					counts[strings.TrimRight(v, "0123456789")]++
+				}
+				return strings.TrimSuffix(strings.TrimPrefix(fmt.Sprint(counts), "map["), "]")
+			case "remove":
+				return fmt.Sprint(q.Remove(args[1]))
 			case "pop":
-				v, ok := q.First(epoch.Add(ms(args[1])))
+				v, ok := q.Pop(epoch.Add(ms(args[1])))
 				if !ok {
 					return "none"
 				}
-				q.Remove(v)
 				return v
 			case "ahead":
 				return fmt.Sprint(q.Ahead(epoch.Add(ms(args[1])), priority(args[2:])))
