limiter: estimate with the guaranteed fraction that many ranks share

Cause: with more than four ranks behind an urgent one the estimate promised each an eighth, although all together have half. For late requests it left out those of the same rank that can be in time, and it counted later requests of the same class as if they took slots from earlier ones.

Change: the estimate uses the same fraction as the order.

--- a/forwarder/admission_test.go
+++ b/forwarder/admission_test.go
@@ -225,6 +225,12 @@
 	if got := slotFraction(EntrySet{Assigned: 4}); got != 0.25 {
 		t.Errorf("unknown load: got: %.3f want: equal fractions", got)
 	}
+	f := (&testbed{runs: map[string]int{}}).newEntry(t, 10)
+	f.options.Entries = func(string) EntrySet { return EntrySet{Total: 4, Assigned: 4, IsAssigned: true, LoadFraction: 0.7} }
+	f.UpdateLimits()
+	if got := f.services["s"].expectedSlots(time.Now()); got < 18 || got > 19 {
+		t.Errorf("got: %.1f of 30 slots want: 18.3", got)
+	}
 }
 
 // TestQueueFlow compares the flows of requests. It guards against a caller or customer that gets several
--- a/limiter/admission_queue.go
+++ b/limiter/admission_queue.go
@@ -300,6 +300,9 @@
 	return first, class
 }
 
+// shareOf returns the guaranteed fraction of each of a number of ranks that wait behind a more urgent one.
+func shareOf(lower int) float64 { return min(rankShare, maxRankShare/float64(max(1, lower))) }
+
 // charge counts slot time that a request of a class uses for the guaranteed fractions of the
 // others.
 func (q *Queue[T]) charge(chosen *queueRank[T], class *queueClass[T], cost float64) {
@@ -310,7 +313,7 @@
 			lower++
 		}
 	}
-	share := min(rankShare, maxRankShare/float64(max(1, lower)))
+	share := shareOf(lower)
 	for _, r := range q.ranks {
 		switch {
 		case r == chosen:
@@ -337,14 +340,20 @@
 	}
 	q.update(now)
 	due, late := p.Due.Sub(q.base), p.late(now)
-	before, own, total := 0, 0, 0
-	// outranked is set if a more urgent rank waits, and olderLate the number of late requests with
-	// an earlier due time.
-	outranked, olderLate := false, 0
+	before, own, after := 0, 0, 0
+	// outranked is set if a more urgent rank waits. lower is the number of ranks that wait behind one,
+	// if that of p is one of them, ownRank the number of requests that use the fraction of its rank
+	// before it, and olderLate the number of late requests with an earlier due time.
+	outranked, lower, ownRank, olderLate := false, 0, 0, 0
 	for _, r := range q.ranks {
+		if r.rank == p.Rank || q.waiting(r) != nil {
+			lower++
+		}
+		if r.rank == p.Rank && late {
+			ownRank += r.inTime.len()
+		}
 		for _, c := range [...]*queueClass[T]{r.inTime, r.late} {
 			n := c.len()
-			total += n
 			if n == 0 {
 				continue
 			}
@@ -357,6 +366,8 @@
 			case q.precedes(r.rank, c.late, p.Rank, late):
 				before += n
 				outranked = outranked || r.rank < p.Rank
+			default:
+				after += n
 			}
 		}
 	}
@@ -369,12 +380,12 @@
 		}
 	}
 	if outranked && (!late || !q.LateLast) {
-		bound(own, rankShare)
+		bound(own+ownRank, shareOf(lower-1))
 	}
 	if late {
 		bound(olderLate, lateShare)
 	}
-	return ahead + min(max(0, total-before-own), int(float64(ahead)*rankShare/(1-rankShare)))
+	return ahead + min(after, int(float64(ahead)*rankShare/(1-rankShare)))
 }
 
 // precedes reports whether a class precedes another one in the order.
