limiter, forwarder, pipeliner: shorter tests of the admission queue

Cause: the replay checked waiting requests in the order of a map, so that its outcome could differ between runs, and rejected those without Retry-After.

Change: the replay is deterministic, and requests that are rejected while they wait return as well. send uses sendFrom; the benchmark and the test of allocations share a step.

--- a/forwarder/admission_test.go
+++ b/forwarder/admission_test.go
@@ -16,25 +16,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
 	"poplarwind/router"
 )
 
-// sendFrom sends a request of a caller with an address, which leaves when ctx ends.
-func sendFrom(ctx context.Context, f *Forwarder, addr, path, id string) *fasthttp.Response {
-	var req fasthttp.Request
-	body := (&bufferer.Budget{}).NewBody(bufferer.Requests, nil)
-	defer body.Release()
-	req.SetRequestURI(path)
-	req.Header.SetHost("h")
-	req.Header.Set("Id", id)
-	req.Header.Set("Wait", "1500ms")
-	c := pipeliner.Call{Request: &req, Body: body, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now(), Caller: netip.MustParseAddr(addr)}
-	f.Handle(ctx, &c)
-	return c.Response
-}
-
 // TestFloodOfCaller has one caller send many more requests than there are slots, while another one sends
 // few. It guards against a flood that delays the requests of other callers, and checks that each
 // rejection states at least the expected wait, and not the same time as the others.
@@ -42,6 +27,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		tb := &testbed{runs: map[string]int{}, work: 100 * time.Millisecond, probeTime: 4 * time.Millisecond}
 		f := tb.newEntry(t, 2)
+		flooding, few := netip.MustParseAddr("192.0.2.9"), netip.MustParseAddr("192.0.2.1")
 		var mu sync.Mutex
 		retryAfter := make(map[time.Duration]bool)
 		f.options.OnComplete = func(r *Record) {
@@ -62,19 +48,19 @@
 		var wg sync.WaitGroup
 		// The average latency is not known before the first responses.
 		for i := range 6 {
-			sendFrom(t.Context(), f, "192.0.2.9", "/read/1", fmt.Sprint("first", i))
+			sendFrom(t.Context(), f, flooding, "/read/1", fmt.Sprint("first", i))
 		}
 		for i := range 400 {
 			wg.Go(func() {
 				time.Sleep(time.Duration(i) * 3 * time.Millisecond)
-				sendFrom(t.Context(), f, "192.0.2.9", "/read/1", fmt.Sprint("flood", i))
+				sendFrom(t.Context(), f, flooding, "/read/1", fmt.Sprint("flood", i))
 			})
 		}
 		for i := range 20 {
 			wg.Go(func() {
 				time.Sleep(time.Duration(200+i*100) * time.Millisecond)
 				start := time.Now()
-				resp := sendFrom(t.Context(), f, "192.0.2.1", "/read/1", fmt.Sprint("few", i))
+				resp := sendFrom(t.Context(), f, few, "/read/1", fmt.Sprint("few", i))
 				d := time.Since(start)
 				if resp.StatusCode() != fasthttp.StatusOK || d > time.Second {
 					t.Errorf("request %d beside a flood: got: %d after %v want: 200 within the objective of 1 s", i, resp.StatusCode(), d)
@@ -136,7 +122,7 @@
 		atLeave = tb.runs["r"]
 		tb.load = map[string]int{}
 	}()
-	sendFrom(ctx, f, "192.0.2.1", path, "r")
+	sendFrom(ctx, f, netip.Addr{}, path, "r")
 	<-left
 	time.Sleep(5 * time.Second)
 	tb.mu.Lock()
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -375,6 +376,11 @@
 
 // send sends one request and returns its response.
 func send(f *Forwarder, path, id string) *fasthttp.Response {
+	return sendFrom(context.Background(), f, netip.Addr{}, path, id)
+}
+
+// sendFrom sends one request of a caller with an address, which leaves when ctx ends.
+func sendFrom(ctx context.Context, f *Forwarder, caller netip.Addr, path, id string) *fasthttp.Response {
 	var req fasthttp.Request
 	body := (&bufferer.Budget{}).NewBody(bufferer.Requests, nil)
 	defer body.Release()
@@ -389,7 +395,7 @@
 	req.Header.SetHost("h")
 	req.Header.Set("Id", id)
 	req.Header.Set("Wait", "1500ms")
-	c := pipeliner.Call{Request: &req, Body: body, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
-	f.Handle(context.Background(), &c)
+	c := pipeliner.Call{Request: &req, Body: body, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now(), Caller: caller}
+	f.Handle(ctx, &c)
 	return c.Response
 }
--- a/limiter/admission_queue_test.go
+++ b/limiter/admission_queue_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -135,33 +134,32 @@
 	})
 }
 
-// fillQueue returns a queue with 10,000 requests of 1,000 flows.
-func fillQueue(now time.Time) (*Queue[int], func(i int) Priority) {
-	q := &Queue[int]{LateLast: true}
-	priority := func(i int) Priority {
-		return Priority{
+// fillQueue returns a queue with 10,000 requests of 1,000 flows, and a function that pushes a further one,
+// estimates the number ahead of it, and pops one.
+func fillQueue() (*Queue[int], func()) {
+	q, now, i := &Queue[int]{LateLast: true}, time.Unix(1000, 0), 0
+	push := func() Priority {
+		p := Priority{
 			Rank: i % 3, Due: now.Add(time.Duration(500+i*7919%3000) * time.Millisecond), Latency: time.Duration(200+i%5*100) * time.Millisecond,
 			Flow: uint64(i * 31 % 1000),
 		}
+		q.Push(i, p)
+		i++
+		return p
 	}
-	for i := range 10000 {
-		q.Push(i, priority(i))
+	for range 10000 {
+		push()
+	}
+	return q, func() {
+		now = now.Add(50 * time.Microsecond)
+		q.Ahead(now, push())
+		q.Pop(now)
 	}
-	return q, priority
 }
 
 // TestQueueAllocations guards against memory allocated for each request of a long queue.
 func TestQueueAllocations(t *testing.T) {
-	now := time.Unix(1000, 0)
-	q, priority := fillQueue(now)
-	i := 10000
-	step := func() {
-		now = now.Add(50 * time.Microsecond)
-		q.Push(i, priority(i))
-		q.Ahead(now, priority(i))
-		q.Pop(now)
-		i++
-	}
+	_, step := fillQueue()
 	for range 30000 {
 		step()
 	}
@@ -173,23 +171,13 @@
 // BenchmarkAdmissionQueue pushes a request to a queue with 10,000 of 1,000 flows, estimates the
 // number ahead of it, and pops one.
 func BenchmarkAdmissionQueue(b *testing.B) {
-	now := time.Unix(1000, 0)
-	q, _ := fillQueue(now)
+	q, step := fillQueue()
 	b.ReportAllocs()
-	b.ResetTimer()
-	for n := range b.N {
-		i := 10000 + n
-		now = now.Add(50 * time.Microsecond)
-		p := Priority{
-			Rank: i % 3, Due: now.Add(time.Duration(500+i*7919%3000) * time.Millisecond), Latency: time.Duration(200+i%5*100) * time.Millisecond,
-			Flow: uint64(i * 31 % 1000),
-		}
-		q.Push(i, p)
-		q.Ahead(now, p)
-		q.Pop(now)
+	for b.Loop() {
+		step()
 	}
 	if q.Len() != 10000 {
-		b.Fatal(fmt.Errorf("got: %d want: 10000", q.Len()))
+		b.Fatalf("got: %d want: 10000", q.Len())
 	}
 }
 
--- a/limiter/replay_test.go
+++ b/limiter/replay_test.go
@@ -38,7 +38,7 @@
 	epoch    time.Time
 	requests []*replayRequest
 	queue    Queue[*replayRequest]
-	waiting  map[*replayRequest]bool
+	waiting  []*replayRequest
 	interval time.Duration
 	random   *rand.Rand
 	outcomes map[string]*replayOutcome
@@ -107,7 +107,6 @@
 // run replays all requests.
 func (r *replay) run() {
 	slices.SortStableFunc(r.requests, func(a, b *replayRequest) int { return a.at.Compare(b.at) })
-	r.waiting = make(map[*replayRequest]bool)
 	const step, checkInterval = time.Millisecond, 100 * time.Millisecond
 	for elapsed := time.Duration(0); len(r.requests) > 0 || r.queue.Len() > 0; elapsed += step {
 		now := r.epoch.Add(elapsed)
@@ -119,23 +118,25 @@
 				continue
 			}
 			r.queue.Push(x, x.priority)
-			r.waiting[x] = true
+			r.waiting = append(r.waiting, x)
 		}
 		if elapsed%checkInterval == 0 {
-			for x := range r.waiting {
-				if _, miss := r.cannotMeetDeadline(now, x, r.queue.Ahead(now, x.priority)); miss {
+			r.waiting = slices.DeleteFunc(r.waiting, func(x *replayRequest) bool {
+				_, miss := r.cannotMeetDeadline(now, x, r.queue.Ahead(now, x.priority))
+				if miss {
 					r.queue.Remove(x)
-					delete(r.waiting, x)
-					x.returns = false
-					r.reject(now, x, 0)
+					p := x.priority
+					p.Due = p.Due.Add(now.Sub(x.at))
+					r.reject(now, x, time.Duration(r.queue.Ahead(now, p)+1)*r.interval)
 				}
-			}
+				return miss
+			})
 		}
 		if elapsed%r.interval != 0 {
 			continue
 		}
 		if x, ok := r.queue.Pop(now); ok {
-			delete(r.waiting, x)
+			r.waiting = slices.DeleteFunc(r.waiting, func(y *replayRequest) bool { return x == y })
 			o := r.outcomes[x.source]
 			o.slowest = max(o.slowest, now.Sub(x.at))
 			if x.priority.late(now) {
