--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/apportioner"
-	"poplarwind/limiter"
 	"poplarwind/pipeliner"
 	"poplarwind/placer"
 	"poplarwind/quarantiner"
@@ -68,6 +67,8 @@
 	// deadline. deadline is when the shorter of the caller's and the route's
 	// timeouts expires.
 	due, deadline time.Time
+	// flow is the flow of the request in the admission queue.
+	flow uint64
 	// dequeued receives a value when the request is removed from the admission
 	// queue to be placed.
 	dequeued chan struct{}
@@ -95,8 +96,10 @@
 	// arrives.
 	fallback *fasthttp.Response
 	// retryAfter is the Retry-After value of a rejection. queueTime is the
-	// time from arrival until the request was last dequeued.
+	// time from arrival until the request last left the admission queue.
 	retryAfter, queueTime time.Duration
+	// estimate is the last estimate of the wait in the admission queue.
+	estimate WaitEstimate
 }
 
 // defaultTimeout applies if the caller specifies no timeout.
@@ -262,10 +265,6 @@
 // response is unlikely.
 const minServiceFraction = 0.8
 
-func (x *exchange) queuePriority() limiter.Priority {
-	return limiter.Priority{Rank: x.rank(), Due: x.due, Latency: x.serviceTime.Average()}
-}
-
 // place selects an upstream with a free slot. The request waits in the
 // admission queue if there is none or if other requests precede it. place
 // returns an error as soon as the response is expected to miss the deadline.
@@ -299,6 +298,10 @@
 			if err := x.awaitDequeue(); err != nil {
 				return candidate{}, err
 			}
+			if x.caller.Err() != nil {
+				x.endPlacement()
+				return candidate{}, errDisconnected
+			}
 		}
 		cand := x.pick(queued)
 		if queued {
@@ -336,12 +339,13 @@
 	s.mu.Lock()
 	now := time.Now()
 	p := x.queuePriority()
-	wait := s.estimateWait(now, s.queue.Ahead(now, p)+1)
+	wait := x.estimateWait(now, s.queue.Ahead(now, p)+1)
 	if now.Add(wait + x.minServiceTime()).After(x.deadline) {
 		x.retryAfter = max(minRetryAfter, wait)
 		s.mu.Unlock()
 		return errNoSlot
 	}
+	s.queue.LateLast = x.hasCustomers
 	s.queue.Push(x, p)
 	s.scheduleDispatch()
 	s.mu.Unlock()
@@ -366,7 +370,7 @@
 				err = errNoSlot
 			}
 		}
-		if err != nil && x.withdraw(wait) {
+		if err != nil && x.withdraw() {
 			return err
 		}
 	}
@@ -378,17 +382,24 @@
 	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Add(s.estimateWait(now, s.queue.Ahead(now, x.queuePriority())) + x.minServiceTime()).After(x.deadline)
+	return now.Add(x.estimateWait(now, s.queue.Ahead(now, x.queuePriority())) + x.minServiceTime()).After(x.deadline)
 }
 
-// withdraw sets the Retry-After value and removes the request from the queue.
-// It reports false if the request was already dequeued.
-func (x *exchange) withdraw(wait time.Duration) bool {
+// withdraw removes the request from the queue and sets the Retry-After value to the expected
+// wait of a request that arrives now. It reports false if the request was already dequeued.
+func (x *exchange) withdraw() bool {
 	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x.retryAfter = max(minRetryAfter, wait)
-	return s.queue.Remove(x)
+	if !s.queue.Remove(x) {
+		return false
+	}
+	now := time.Now()
+	x.queueTime = now.Sub(x.call.ArrivedAt)
+	p := x.queuePriority()
+	p.Due = p.Due.Add(now.Sub(x.call.ArrivedAt))
+	x.retryAfter = max(minRetryAfter, s.estimateWait(now, s.queue.Ahead(now, p)+1))
+	return true
 }
 
 // minRetryAfter is the least Retry-After value of a rejection. A shorter one
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -57,8 +57,8 @@
 		resp.Header.Set(headerAttempts, strconv.Itoa(len(x.attempted)))
 	}
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
-		retryAfter := max(x.retryAfter, minRetryAfter)
-		resp.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		x.setRetryAfter(res.err)
+		resp.Header.Set("Retry-After", strconv.FormatFloat(x.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(struct {
 		Error string `json:"error"`
@@ -92,12 +92,14 @@
 	// Version is the version of the configuration that the request was routed
 	// with.
 	Version int64
-	// QueueTime is the time from arrival until the request was last dequeued, 0
-	// if it was not queued or never dequeued. Duration is the time from arrival
+	// QueueTime is the time from arrival until the request last left the admission
+	// queue, 0 if it was not queued. Duration is the time from arrival
 	// to the response, and TimeLeft the time that remained until the deadline.
 	QueueTime, Duration, TimeLeft time.Duration
 	RetryAfter                    time.Duration
 	Rank                          int
+	// Estimate is the estimate by which no upstream has a slot in time, nil if that is not the cause.
+	Estimate *WaitEstimate
 	// Customer is the name of the customer, empty if there is none, and Quota the decision by
 	// which the request is beyond its quota, nil if it is not.
 	Customer string
@@ -152,6 +154,9 @@
 		return r
 	}
 	r.Service, r.RelayedTo = x.service.name, x.relayedTo
+	if errors.Is(res.err, errNoSlot) {
+		r.Estimate = &x.estimate
+	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	for _, u := range x.attempted {
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -136,6 +138,8 @@
 	load map[string]int
 	// work is how long each upstream takes for a request without a fault.
 	work time.Duration
+	// probeTime is the longest time that each upstream takes for a load probe.
+	probeTime time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
@@ -220,6 +224,7 @@
 		if tb.reached != nil {
 			tb.reached[addr]++
 		}
+		probeTime := time.Duration(rand.Float64() * float64(tb.probeTime))
 		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes, ""
 		if tb.leavingProbes {
 			leaving = "Leaving: 1\r\n"
@@ -229,6 +234,7 @@
 			if unresponsive {
 				continue
 			}
+			time.Sleep(probeTime)
 			if pausing {
 				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nPause: 5s\r\nContent-Length: 0\r\n\r\n")
 				return
@@ -370,6 +376,11 @@
 
 // send sends one request and returns its response.
 func send(f *Forwarder, path, id string) *fasthttp.Response {
+	return sendFrom(context.Background(), f, netip.Addr{}, path, id)
+}
+
+// sendFrom sends one request of a caller with an address, which leaves when ctx ends.
+func sendFrom(ctx context.Context, f *Forwarder, caller netip.Addr, path, id string) *fasthttp.Response {
 	var req fasthttp.Request
 	body := (&bufferer.Budget{}).NewBody(bufferer.Requests, nil)
 	defer body.Release()
@@ -384,7 +395,7 @@
 	req.Header.SetHost("h")
 	req.Header.Set("Id", id)
 	req.Header.Set("Wait", "1500ms")
-	c := pipeliner.Call{Request: &req, Body: body, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
-	f.Handle(context.Background(), &c)
+	c := pipeliner.Call{Request: &req, Body: body, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now(), Caller: caller}
+	f.Handle(ctx, &c)
 	return c.Response
 }
