pipeliner: requests that can't be read are logged without their bytes

Cause: the codec quotes the header of a malformed request in its error, and the error went to the log, with the caller's key.

Change: the log line has the text of the error before the first quotation.

--- a/pipeliner/conn.go
+++ b/pipeliner/conn.go
@@ -345,7 +345,7 @@
 		p.release()
 		return false
 	}
-	c.server.options.Log.Info("request can't be read", "caller", c.net.RemoteAddr().String(), "error", err.Error())
+	c.server.options.Log.Info("request can't be read", "caller", c.net.RemoteAddr().String(), "error", readErrorText(err))
 	setReadError(p.Response, err)
 	p.Body.Release()
 	p.done, p.last, p.concurrent = true, true, true
--- a/pipeliner/request.go
+++ b/pipeliner/request.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http/httputil"
+	"strings"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -91,6 +92,13 @@
 	return lengths+encodings > 1
 }
 
+// readErrorText returns the text of an error of readHeader or readBody without the bytes of the
+// request that it quotes: they may include the key of a customer.
+func readErrorText(err error) string {
+	text, _, _ := strings.Cut(err.Error(), `"`)
+	return strings.TrimRight(text, " ")
+}
+
 // exhaustedRetryAfter is the Retry-After value in seconds of a request for which there is no
 // memory left.
 const exhaustedRetryAfter = "0.5"
