forwarder, platform: a relayed request bears its key once; no refresh without a key

Cause: a caller may name the header Key in Connection, or repeat it in a trailer. The copy to another entry then had no key or several, and that entry answered 401 to a valid request; a key in a trailer became one of the header. Requests without any key read the store whenever the replica was old. A rejected request without a deadline was logged with a time left of minus 292 years.

Change: the dialect sets the key of a relayed request anew. Only an unknown key or route refreshes the configuration. An empty key counts as none. A record without a deadline has no time left.

--- a/forwarder/customer.go
+++ b/forwarder/customer.go
@@ -9,8 +9,8 @@
 )
 
 // identify determines the route and the customer of a request by a configuration. It returns
-// errNoRoute, or errNoCustomer if the route needs the key of a customer and the request bears
-// none, an unknown one or several.
+// errNoRoute, or if the route needs the key of a customer, errNoKey if the request bears none or
+// several, and errNoCustomer if it bears an unknown one.
 func (x *exchange) identify(t *router.Table, host, uri string) error {
 	x.version, x.hasCustomers, x.customer = t.Version(), t.HasCustomers(), nil
 	if x.route = t.Find(host, uri); x.route == nil {
@@ -19,13 +19,18 @@
 	if !x.hasCustomers {
 		return nil
 	}
-	if key, count := x.forwarder.options.Dialect.Key(&x.call.Request.Header); count == 1 {
+	key, count := x.forwarder.options.Dialect.Key(&x.call.Request.Header)
+	hasKey := count == 1 && len(key) > 0
+	if hasKey {
 		x.customer = t.Customer(key)
 	}
-	if x.customer == nil && !x.route.Anonymous {
+	switch {
+	case x.customer != nil || x.route.Anonymous:
+		return nil
+	case hasKey:
 		return errNoCustomer
 	}
-	return nil
+	return errNoKey
 }
 
 // rank returns the rank of the request: that of its customer, or of its route if the customer has
@@ -50,6 +55,20 @@
 	x.forwarder.options.Dialect.SetCustomer(h, name)
 }
 
+// setKey makes a request to another entry bear the key of the caller's request once, if that does: a
+// caller may name the header as one of its connection, or have it in a trailer too, and the other
+// entry would reject the request. Without customers in the configuration the headers stay as they are.
+func (x *exchange) setKey(h *fasthttp.RequestHeader) {
+	if !x.hasCustomers {
+		return
+	}
+	key, count := x.forwarder.options.Dialect.Key(&x.call.Request.Header)
+	if count != 1 {
+		key = nil
+	}
+	x.forwarder.options.Dialect.SetKey(h, key)
+}
+
 // countQuota admits the request to the quota of its customer, once. A request that another entry
 // serves is counted there. It returns errOverQuota if the quota is used up.
 func (x *exchange) countQuota() error {
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -27,6 +27,9 @@
 	// SetCustomer removes the keys and the names of customers from a request and sets a
 	// name, unless it is empty.
 	SetCustomer(h *fasthttp.RequestHeader, name string)
+	// SetKey removes the keys and the names of customers from a request that is sent to another
+	// entry and sets a key, unless it is empty.
+	SetKey(h *fasthttp.RequestHeader, key []byte)
 	// ParseResponse parses the protocol headers of an upstream's response,
 	// received at now.
 	ParseResponse(h *fasthttp.ResponseHeader, now time.Time) ResponseInfo
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,6 +23,7 @@
 	errNoRoute      = errors.ConstError("no route matches")
 	errOverQuota    = errors.ConstError("quota of the customer is used up")
 	errNoCustomer   = errors.ConstError("no customer has the key of the request")
+	errNoKey        = errors.ConstError("request has no key, or several")
 	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
 	errNoSlot       = errors.ConstError("no upstream has a slot in time")
 	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"poplarwind/apportioner"
 	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
@@ -90,7 +92,7 @@
 	// are none.
 	Quota Quota
 	// Refresh loads the newest configuration that is available before ctx
-	// expires. It is called when a request matches no route. Nil disables it.
+	// expires. It is called when a request matches no route or has an unknown key. Nil disables it.
 	Refresh func(ctx context.Context)
 	// OnComplete is called with the outcome of each request, if it is not nil.
 	OnComplete func(*Record)
@@ -320,7 +322,9 @@
 	}
 	host, uri := string(c.Request.Host()), string(c.Request.Header.RequestURI())
 	err := x.identify(t, host, uri)
-	if err != nil && f.options.Refresh != nil {
+	// No newer configuration knows a customer for a request without a key, and a flood of such
+	// requests must not wait for the store.
+	if err != nil && !errors.Is(err, errNoKey) && f.options.Refresh != nil {
 		refreshCtx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 		f.options.Refresh(refreshCtx)
 		cancel()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -296,6 +296,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	x.copyRequest(req)
+	x.setKey(&req.Header)
 	req.Header.Set(headerRelayed, strconv.Itoa(x.attempts()))
 	x.forwarder.options.Dialect.SetTimeout(&req.Header, time.Until(x.deadline))
 	return c.Send(req)
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -22,6 +22,7 @@
 }{
 	{errNoRoute, fasthttp.StatusNotFound},
 	{errNoCustomer, fasthttp.StatusUnauthorized},
+	{errNoKey, fasthttp.StatusUnauthorized},
 	{errOverQuota, fasthttp.StatusTooManyRequests},
 	{errBodyTooLarge, fasthttp.StatusRequestEntityTooLarge},
 }
@@ -147,10 +148,12 @@
 	if x.customer != nil {
 		r.Customer, r.Quota = x.customer.Name, x.quota
 	}
-	r.Route, r.Rank, r.TimeLeft, r.RetryAfter = x.route.Name, x.rank(), x.deadline.Sub(now), x.retryAfter
+	r.Route, r.Rank, r.RetryAfter = x.route.Name, x.rank(), x.retryAfter
+	// A request that was rejected before has no deadline.
 	if x.service == nil {
 		return r
 	}
+	r.TimeLeft = x.deadline.Sub(now)
 	r.Service, r.RelayedTo = x.service.name, x.relayedTo
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -36,11 +36,15 @@
 }
 
 func (testDialect) Key(h *fasthttp.RequestHeader) ([]byte, int) {
-	keys := h.PeekAll("Pass")
-	if len(keys) == 0 {
-		return nil, 0
+	count := 0
+	var key []byte
+	for name, value := range h.All() {
+		if string(name) == "Pass" {
+			key = value
+			count++
+		}
 	}
-	return keys[0], len(keys)
+	return key, count
 }
 
 func (testDialect) SetCustomer(h *fasthttp.RequestHeader, name string) {
@@ -51,6 +55,14 @@
 	}
 }
 
+func (testDialect) SetKey(h *fasthttp.RequestHeader, key []byte) {
+	h.Del("Pass")
+	h.Del("Customer")
+	if len(key) > 0 {
+		h.SetBytesV("Pass", key)
+	}
+}
+
 func (testDialect) SetTimeout(h *fasthttp.RequestHeader, left time.Duration) {
 	h.Set("Wait", left.String())
 }
@@ -140,6 +152,8 @@
 	unresponsive map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
 	reached map[string]int
+	// headers holds the header of each request that reached an upstream, by ID, if it is not nil.
+	headers map[string]string
 	// pausingProbes is set if upstreams reject load probes and ask for a pause, and
 	// leavingProbes if they say in load probes that they leave.
 	pausingProbes, leavingProbes bool
@@ -245,12 +259,22 @@
 			}
 		}
 		again = f == shedTwice
+		tb.recordHeader(&req.Header)
 		if !tb.respond(c, f, string(req.Header.Peek("Id"))) {
 			return
 		}
 	}
 }
 
+// recordHeader records the header of a request if headers are recorded.
+func (tb *testbed) recordHeader(h *fasthttp.RequestHeader) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	if tb.headers != nil {
+		tb.headers[string(h.Peek("Id"))] = h.String()
+	}
+}
+
 // respond responds to one request and reports whether the connection stays
 // open.
 func (tb *testbed) respond(c net.Conn, f fault, id string) bool {
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -36,6 +36,8 @@
 
 func (clusterDialect) SetCustomer(*fasthttp.RequestHeader, string) {}
 
+func (clusterDialect) SetKey(*fasthttp.RequestHeader, []byte) {}
+
 func (clusterDialect) SetTarget(*fasthttp.RequestHeader, string, time.Duration) {}
 
 func (clusterDialect) SetTimeout(*fasthttp.RequestHeader, time.Duration) {}
