--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -52,6 +52,7 @@
 	forwarder   *forwarder.Forwarder
 	quarantiner *quarantiner.Quarantiner
 	quotas      *quotaExchange
+	refresher   refresher
 	reach       *reacher.Reach
 	monitor     *reacher.Monitor
 	requestLog  *reporter.RequestLogger
@@ -249,14 +250,6 @@
 // itself.
 func (g *Gateway) serving() bool { return g.ready() && !g.reach.Cut() }
 
-// refreshConfig reads the configuration from the store and applies it, unless the
-// local cache is recent enough.
-func (g *Gateway) refreshConfig(ctx context.Context) {
-	if g.tracker.Refresh(ctx, tracker.Configs) {
-		g.applyConfig()
-	}
-}
-
 // accept returns a listener that outlives a want of descriptors: idle connections of callers
 // are then closed.
 func (g *Gateway) accept(l net.Listener) net.Listener {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -358,11 +358,11 @@
 const freshAge = staleAge + checkInterval
 
 // Refresh reads the store once unless the replica of the kind is younger than
-// freshAge. It reports whether it read the store successfully.
-func (t *Tracker) Refresh(ctx context.Context, k Kind) bool {
+// freshAge. It reports whether it did, or returns the error of the read.
+func (t *Tracker) Refresh(ctx context.Context, k Kind) (bool, error) {
 	position := t.state.Position(time.Now(), k)
 	if position.AsOf > 0 && position.Age < freshAge {
-		return false
+		return false, nil
 	}
 	var err error
 	if position.AsOf == 0 {
@@ -371,7 +371,7 @@
 		err = t.watch(ctx, k, position, time.Millisecond)
 	}
 	t.setReachable(k, err)
-	return err == nil
+	return err == nil, err
 }
 
 // maxStaleness is the assumed age of a stale list.
