apportioner, runner: the last report of an entry that leaves counts

Cause: the message with which an entry leaves removed it before its counters were applied, so that what it had admitted since its last report was admitted again by the others. The exchange also kept the name of each entry it ever had.

Change: the counters are applied first.

--- a/apportioner/table.go
+++ b/apportioner/table.go
@@ -427,11 +427,12 @@
 	switch {
 	case p != nil && m.Epoch < p.epoch:
 		return nil
-	case p != nil && (m.Epoch > p.epoch || m.Leaving):
+	case p != nil && m.Epoch > p.epoch:
 		t.drop(p)
 		p = nil
 	}
 	if m.Leaving {
+		t.leave(now, p, &m)
 		return nil
 	}
 	first := p == nil
@@ -457,6 +458,17 @@
 	return nil
 }
 
+// leave applies the last report of a peer and forgets it, if it is known. The lock must be held.
+func (t *Table) leave(now time.Time, p *peer, m *Message) {
+	if p == nil {
+		return
+	}
+	for i := range m.Counts {
+		t.apply(now, p, &m.Counts[i], false, false)
+	}
+	t.drop(p)
+}
+
 // expire returns a time that is old enough for a fraction to be determined again.
 func expire(at, now time.Time) time.Time {
 	if at.IsZero() {
--- a/runner/quota.go
+++ b/runner/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -100,6 +101,7 @@
 func (q *quotaExchange) due(now time.Time, self string, others []announcer.Member, interval time.Duration) []announcer.Member {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	maps.DeleteFunc(q.exchangedAt, func(_ string, at time.Time) bool { return now.Sub(at) > peakTime })
 	var out []announcer.Member
 	for _, m := range others {
 		wait := interval
