--- a/runner/harness_test.go
+++ b/runner/harness_test.go
@@ -53,6 +53,8 @@
 		os.Exit(runEntry(os.Args[1]))
 	case "server":
 		os.Exit(runServer())
+	case "gateway":
+		os.Exit(runGatewayProcess(os.Args[1]))
 	}
 	os.Exit(m.Run())
 }
