apportioner, reporter, runner, poplarctl: decisions on quotas are observable

Cause: nothing but the lines of single requests told which customers were over their quota and what the decision was based on.

Change: counters of requests admitted, rejected and returned, as totals and for the 20 customers with the most rejections, and of requests without a valid key. Status and dump have the state of each customer. Two log lines tell when an entry begins and ends to use only a part of its portions. poplarctl why explains a request that a quota rejected.

Measured: tests of apportioner, reporter and poplarctl pass, and TestQuotaFlood, TestKeysThroughStore and TestPlatformEndpoints of runner.

--- a/apportioner/customer.go
+++ b/apportioner/customer.go
@@ -47,8 +47,9 @@
 	// last one arrived.
 	demand float64
 	usedAt time.Time
-	// admitted and rejected count requests since the start of the entry.
-	admitted, rejected int64
+	// admitted and rejected count requests since the start of the entry. Admissions that were
+	// returned are not in admitted but in returned.
+	admitted, rejected, returned int64
 	// spare counts the requests admitted beyond the portion since the last exchange.
 	spare int
 	// peers holds what other entries have reported, by the index of the peer.
--- a/apportioner/table.go
+++ b/apportioner/table.go
@@ -74,6 +74,15 @@
 	// isolatedAt is when this entry was cut off from most others, zero if it is not.
 	isolatedAt time.Time
 	leaving    bool
+	totals     Totals
+}
+
+// Totals counts the decisions on requests of customers with a quota since the start of the entry.
+type Totals struct {
+	Admitted int64 `json:"admitted"`
+	Rejected int64 `json:"rejected"`
+	// Returned counts the admissions of requests that were sent to no upstream.
+	Returned int64 `json:"returned"`
 }
 
 // New returns the table of the entry named self that was started at epoch, with no quotas. The
@@ -311,6 +320,7 @@
 		c.spare++
 	default:
 		c.rejected++
+		t.totals.Rejected++
 		return Decision{
 			RetryAfter: t.retryAfter(now, c, level), Level: level, Portion: c.portion, Fraction: t.share(now, c),
 			Demand: c.demand, Total: c.total, Isolated: isolated,
@@ -318,6 +328,7 @@
 	}
 	c.level--
 	c.admitted++
+	t.totals.Admitted++
 	return Decision{Admitted: true}
 }
 
@@ -338,6 +349,8 @@
 	}
 	t.settle(now, c)
 	c.admitted--
+	c.returned++
+	t.totals.Returned++
 	c.level++
 	c.portion = min(c.portion+1, c.portionCapacity())
 }
@@ -547,8 +560,26 @@
 	Fraction float64 `json:"fraction"`
 	Demand   float64 `json:"demand"`
 	Total    float64 `json:"total"`
-	Admitted int64   `json:"admitted"`
-	Rejected int64   `json:"rejected"`
+	// Admitted counts the requests that were admitted, Returned those of them that were sent to
+	// no upstream, and Rejected the others.
+	Admitted int64 `json:"admitted"`
+	Returned int64 `json:"returned"`
+	Rejected int64 `json:"rejected"`
+}
+
+// Totals returns the number of decisions on all customers.
+func (t *Table) Totals() Totals {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.totals
+}
+
+// MostRejected returns the state of the n customers with the most rejections, those with the most first.
+// Customers without rejections are left out.
+func (t *Table) MostRejected(now time.Time, n int) []Status {
+	list := slices.DeleteFunc(t.Status(now), func(s Status) bool { return s.Rejected == 0 })
+	slices.SortStableFunc(list, func(a, b Status) int { return cmp.Compare(b.Rejected, a.Rejected) })
+	return list[:min(n, len(list))]
 }
 
 // Status returns the state of all customers with recent requests, in order of name.
@@ -560,7 +591,8 @@
 		level := t.settle(now, c)
 		out = append(out, Status{
 			Customer: name, Rate: c.limit.Rate, Burst: c.limit.Burst, Level: level, Portion: c.portion,
-			Fraction: t.share(now, c), Demand: c.decayed(now), Total: c.total, Admitted: c.admitted, Rejected: c.rejected,
+			Fraction: t.share(now, c), Demand: c.decayed(now), Total: c.total,
+			Admitted: c.admitted + c.returned, Returned: c.returned, Rejected: c.rejected,
 		})
 	}
 	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.Customer, b.Customer) })
--- a/cmd/poplarctl/why.go
+++ b/cmd/poplarctl/why.go
@@ -37,10 +37,39 @@
 	Fingerprint string `json:"fingerprint"`
 	// PauseMs is the length of a pause that an upstream asks for, in milliseconds.
 	PauseMs int64 `json:"pause_ms"`
+	// Customer is the customer of the request, and Quota the decision that rejected it, nil if no
+	// quota did. RetryAfterMs is the time after which it may be sent again, in milliseconds.
+	Customer     string         `json:"customer"`
+	Quota        *quotaDecision `json:"quota"`
+	RetryAfterMs int64          `json:"retry_after_ms"`
 
 	text []byte
 }
 
+// quotaDecision holds the attributes of a decision that a request is beyond the quota of its customer.
+type quotaDecision struct {
+	Level    float64 `json:"level"`
+	Portion  float64 `json:"portion"`
+	Fraction float64 `json:"fraction"`
+	Demand   float64 `json:"demand"`
+	Total    float64 `json:"total"`
+	Isolated bool    `json:"isolated"`
+}
+
+// quotaReason explains a request that was rejected by the quota of its customer.
+func (l logLine) quotaReason() string {
+	d := l.Quota
+	reason := fmt.Sprintf("all entries together have used it up: %.1f requests of it are left", d.Level)
+	switch {
+	case d.Isolated:
+		reason = "the entry is cut off from most others and may use only a part of its portion of it"
+	case d.Level >= 1:
+		reason = fmt.Sprintf("the entry has used up its portion of it, although %.1f requests are left at all entries", d.Level)
+	}
+	return fmt.Sprintf("quota of customer %s: %s; %.1f of %.1f requests per second arrive at %s, whose fraction is %.2f; may be sent again after %d ms",
+		l.Customer, reason, d.Demand, d.Total, l.Entry, d.Fraction, l.RetryAfterMs)
+}
+
 // parseLogLine parses a line, which may have other text before its JSON object.
 // It reports false if the line has no JSON object with a message.
 func parseLogLine(text []byte) (logLine, bool) {
@@ -78,6 +107,11 @@
 	for _, l := range explanation {
 		fmt.Fprintf(t.out, "%s\n", l.text)
 	}
+	for _, l := range explanation {
+		if l.Request == id && l.Quota != nil {
+			fmt.Fprintln(t.out, l.quotaReason())
+		}
+	}
 	return nil
 }
 
@@ -105,7 +139,7 @@
 // the store, its configuration, and its start and stop. Older builds log "store
 // lost" and "store answers" where newer ones log "store unreachable" and "store
 // reachable"; all four are matched, so that older log streams can be explained.
-var entryStateMessages = []string{"store unreachable", "store reachable", "store lost", "store answers", "configuration in force", "configuration refused", "entry started", "entry leaving"}
+var entryStateMessages = []string{"store unreachable", "store reachable", "store lost", "store answers", "configuration in force", "configuration refused", "entry started", "entry leaving", "quota portions reduced", "quota portions restored"}
 
 // statementMessages are the messages about what an upstream has stated of itself in the
 // response to some request, with how long it may explain other requests, 0 meaning as long as
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"poplarwind/announcer"
+	"poplarwind/apportioner"
 	"poplarwind/bufferer"
 	"poplarwind/forwarder"
 	"poplarwind/internal/acceptor"
@@ -42,6 +44,8 @@
 	Forwarder *forwarder.Forwarder
 	// Quarantine holds the requests during which upstreams crashed.
 	Quarantine *quarantiner.Table
+	// Quotas holds the quotas of customers.
+	Quotas *apportioner.Table
 	// Reach is whether the entry is cut off from the upstreams.
 	Reach *reacher.Reach
 	// StoreEra returns the era of the store as of the last read.
@@ -68,6 +72,8 @@
 	scrape  fasthttp.RequestHandler
 	reports reportLimiter
 	latency metric.Float64Histogram
+	// unauthorized counts the requests that were rejected because they had no valid key.
+	unauthorized atomic.Int64
 
 	mu sync.RWMutex
 	// options caches the attribute set of each outcome, so that it is not built
@@ -118,6 +124,12 @@
 			}
 			return n
 		})},
+		{"poplarwind.quota.admitted", "Requests admitted to quotas of customers.", g.counter(func() int64 { return g.sources.Quotas.Totals().Admitted })},
+		{"poplarwind.quota.rejected", "Requests rejected by quotas of customers.", g.counter(func() int64 { return g.sources.Quotas.Totals().Rejected })},
+		{"poplarwind.quota.returned", "Requests admitted to quotas of customers that were sent to no upstream.", g.counter(func() int64 { return g.sources.Quotas.Totals().Returned })},
+		{"poplarwind.quota.customer.admitted", "Requests admitted to the quota of a customer, for those with the most rejections.", g.perCustomer(func(s *apportioner.Status) int64 { return s.Admitted })},
+		{"poplarwind.quota.customer.rejected", "Requests rejected by the quota of a customer, for those with the most rejections.", g.perCustomer(func(s *apportioner.Status) int64 { return s.Rejected })},
+		{"poplarwind.requests.unauthorized", "Requests rejected because they had no valid key of a customer.", g.counter(g.unauthorized.Load)},
 		{"poplarwind.memory.evicted", "Messages that gave way to others in memory, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Evicted })},
 		{"poplarwind.memory.rejected", "Messages for which there was no memory left, by kind.", g.perKind(func(u bufferer.Usage) map[string]int64 { return u.Rejected })},
 		{"poplarwind.connections.closed_idle", "Callers' connections that were closed for others while they were idle.", g.counter(func() int64 { return g.sources.Connections().ClosedIdle })},
@@ -156,6 +168,19 @@
 	}
 }
 
+// maxCustomers bounds the customers in metrics.
+const maxCustomers = 20
+
+// perCustomer returns a callback that observes one value of each of the customers with the most
+// rejections.
+func (g *Gateway) perCustomer(value func(*apportioner.Status) int64) func(metric.Observer, metric.Int64Observable) {
+	return func(o metric.Observer, i metric.Int64Observable) {
+		for _, s := range g.sources.Quotas.MostRejected(time.Now(), maxCustomers) {
+			o.ObserveInt64(i, value(&s), metric.WithAttributes(attribute.String("customer", s.Customer)))
+		}
+	}
+}
+
 // counter returns a callback that observes one count without attributes.
 func (g *Gateway) counter(read func() int64) func(metric.Observer, metric.Int64Observable) {
 	return func(o metric.Observer, i metric.Int64Observable) { o.ObserveInt64(i, read()) }
@@ -233,6 +258,12 @@
 			}
 		}},
 		{"poplarwind.quarantine.requests", "Requests in quarantine because upstreams crash when they run them.", g.scalar(func() float64 { return float64(g.quarantined()) })},
+		{"poplarwind.quota.isolated", "1 while this entry is cut off from most others and uses a part of its portions of quotas.", g.scalar(func() float64 {
+			if g.sources.Quotas.Isolated() {
+				return 1
+			}
+			return 0
+		})},
 		{"poplarwind.upstreams.cut", "1 while this entry is cut off from the upstreams of all services.", g.scalar(func() float64 {
 			if g.sources.Reach.Cut() {
 				return 1
@@ -302,6 +333,9 @@
 		g.options[key] = option
 		g.mu.Unlock()
 	}
+	if r.Status == fasthttp.StatusUnauthorized && r.Cause != "" {
+		g.unauthorized.Add(1)
+	}
 	g.latency.Record(context.Background(), r.Duration.Seconds(), option)
 }
 
@@ -324,12 +358,20 @@
 	Members   []announcer.Status          `json:"members"`
 	Services  []forwarder.ServiceStatus   `json:"services"`
 	// Crashes holds the requests during which upstreams crashed.
-	Crashes    []quarantiner.Status `json:"crashes,omitempty"`
-	StoreCalls int64                `json:"calls"`
-	StoreEra   uint64               `json:"era"`
-	Peers      announcer.Traffic    `json:"peers"`
-	InFlight   int                  `json:"running"`
-	Memory     bufferer.Usage       `json:"memory"`
+	Crashes []quarantiner.Status `json:"crashes,omitempty"`
+	// Quotas holds the quotas of the customers that have had requests, and QuotaTotals the decisions
+	// on them. Isolated is set while the entry is cut off from most others and uses a part of its
+	// portions.
+	Quotas      []apportioner.Status `json:"quotas,omitempty"`
+	QuotaTotals apportioner.Totals   `json:"quota_totals"`
+	Isolated    bool                 `json:"isolated,omitempty"`
+	// Unauthorized counts the requests that were rejected because they had no valid key.
+	Unauthorized int64             `json:"unauthorized"`
+	StoreCalls   int64             `json:"calls"`
+	StoreEra     uint64            `json:"era"`
+	Peers        announcer.Traffic `json:"peers"`
+	InFlight     int               `json:"running"`
+	Memory       bufferer.Usage    `json:"memory"`
 	// Connections counts callers' connections.
 	Connections pipeliner.Connections `json:"connections"`
 	// Listeners holds the use of the other listeners, by name.
@@ -343,6 +385,7 @@
 	out := GatewayStatus{
 		Entry: s.Name, Build: versioner.Build(), Level: announcer.Level, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
 		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
+		Quotas: s.Quotas.Status(now), QuotaTotals: s.Quotas.Totals(), Isolated: s.Quotas.Isolated(), Unauthorized: g.unauthorized.Load(),
 		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(), Connections: s.Connections(), Listeners: s.Listeners(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
--- a/runner/customer_gateway_test.go
+++ b/runner/customer_gateway_test.go
@@ -162,6 +162,9 @@
 			t.Errorf("%s: got: a key in it want: none", path)
 		}
 	}
+	if text := get(t, "http://"+a.process.Ops()+"/metrics", 200); !strings.Contains(text, "\npoplarwind_requests_unauthorized_total") || strings.Contains(text, "\npoplarwind_requests_unauthorized_total 0\n") {
+		t.Error("got: no count of requests without a valid key want: one above 0")
+	}
 	for _, g := range []*testGateway{a, b, late} {
 		g.stop()
 		if err := <-g.done; err != nil {
@@ -191,7 +194,7 @@
 
 // flood sends requests with a key to entries, moving on from one that does not respond, until ctx ends. It
 // returns the number of responses by status.
-func flood(ctx context.Context, t *testing.T, addrs []string, key string, callers int, interval time.Duration) map[int]int {
+func flood(ctx context.Context, addrs []string, key string, callers int, interval time.Duration) map[int]int {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := make(map[int]int)
@@ -242,7 +245,7 @@
 	s.store.PutCustomers(4, "h.example", "/a/", "jobs",
 		imitator.Customer{Name: "acme", Keys: []string{"key-acme"}, Rate: rate, Burst: burst},
 		imitator.Customer{Name: "small", Keys: []string{"key-small"}, Rate: 6, Burst: 6})
-	var addrs []string
+	var addrs, ops []string
 	var entries []*process
 	for i := range 3 {
 		name := fmt.Sprint("e", i+1)
@@ -252,7 +255,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		addrs = append(addrs, settings.Callers())
+		addrs, ops = append(addrs, settings.Callers()), append(ops, settings.Ops())
 		entries = append(entries, p)
 	}
 	for _, addr := range addrs {
@@ -267,8 +270,8 @@
 	time.AfterFunc(killAfter, func() { entries[1].signal(syscall.SIGKILL) })
 	var wg sync.WaitGroup
 	var large, small map[int]int
-	wg.Go(func() { large = flood(ctx, t, addrs, "key-acme", 60, 500*time.Millisecond) })
-	wg.Go(func() { small = flood(ctx, t, addrs, "key-small", 3, time.Second) })
+	wg.Go(func() { large = flood(ctx, addrs, "key-acme", 60, 500*time.Millisecond) })
+	wg.Go(func() { small = flood(ctx, addrs, "key-small", 3, time.Second) })
 	wg.Wait()
 	arrivals := s.upstream.Arrivals("acme")
 	bound := int((rate*window.Seconds()+burst)*1.1 + 20)
@@ -287,6 +290,11 @@
 	if small[429]+small[401] > 0 {
 		t.Errorf("customer within its quota: got: %v want: no rejection", small)
 	}
+	for path, want := range map[string]string{"/metrics": `poplarwind_quota_customer_rejected_total{customer="acme"}`, "/status": `"customer":"acme","rate":20`} {
+		if text := get(t, "http://"+ops[0]+path, 200); !strings.Contains(text, want) {
+			t.Errorf("%s: got: no %s want: the decisions on the customer", path, want)
+		}
+	}
 	if keys, others := s.upstream.Strays("acme", "small"); keys != 0 || others != 0 {
 		t.Errorf("got: %d requests with a key, %d of other customers want: 0, 0", keys, others)
 	}
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -159,7 +159,7 @@
 	})
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, Listeners: g.listenerUsage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Quotas: g.quotas.table, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, Listeners: g.listenerUsage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
--- a/runner/quota.go
+++ b/runner/quota.go
@@ -56,6 +56,8 @@
 	limited bool
 	// exchangedAt is when reports were last exchanged with an entry, by name, whoever began.
 	exchangedAt map[string]time.Time
+	// isolated is whether the entry was last cut off from most others.
+	isolated bool
 	// peak is the most entries that were live lately, as of peakAt.
 	peak   int
 	peakAt time.Time
@@ -161,6 +163,7 @@
 	isReceiving := len(others) < len(receiving)
 	live := g.table.Live(now)
 	q.table.SetMembership(now, apportioner.Membership{Alone: len(others) == 0, Few: q.few(now, len(live)), Idle: idle(live, others)})
+	g.logIsolation(len(live), len(receiving))
 	interval := quotaInterval
 	demand := q.table.HasDemand(now)
 	switch {
@@ -180,6 +183,24 @@
 	}
 }
 
+// logIsolation logs when this entry begins or ends to be cut off from most others, by which its portions
+// of quotas change.
+func (g *Gateway) logIsolation(live, receiving int) {
+	q := g.quotas
+	isolated := q.table.Isolated()
+	q.mu.Lock()
+	changed, peak := isolated != q.isolated, q.peak
+	q.isolated = isolated
+	q.mu.Unlock()
+	switch {
+	case !changed:
+	case isolated:
+		g.log.Warn("quota portions reduced", "cause", "reports come from less than half of the entries", "live", live, "peak", peak, "receiving", receiving)
+	default:
+		g.log.Info("quota portions restored", "live", live, "peak", peak, "receiving", receiving)
+	}
+}
+
 // idle returns a function that reports whether an entry is live and receives no requests.
 func idle(live, receiving []announcer.Member) func(name string) bool {
 	return func(name string) bool {
