router, runner, announcer: configurations that an earlier build passed on are read from the store

Cause: an entry of the previous build decodes a configuration that it passes on without its customers. Entries of this build took it for one without customers, also after they had read the store, as its version was the same: they would pass keys on to upstreams. A relayed request took its key to such an entry.

Change: a decoded configuration states a level, which earlier builds drop. One without it is read from the store before it is in force; a complete one replaces an incomplete one of the same version. Requests with customers are relayed only to entries of message level 2.

--- a/announcer/message.go
+++ b/announcer/message.go
@@ -14,7 +14,11 @@
 
 // Level is the level of the messages that this build understands. It rises with a message or a
 // field that others may send only to entries that understand it.
-const Level = 1
+const Level = LevelKeys
+
+// LevelKeys is the level from which on an entry checks the keys of customers and does not pass them on
+// to upstreams.
+const LevelKeys = 2
 
 // ErrMalformed reports a peer message that is malformed or exceeds a limit.
 const ErrMalformed = errors.ConstError("malformed message of a peer")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -170,12 +170,11 @@
 	return f
 }
 
-// Configure replaces the configuration unless the one in force has the same version or a higher
-// one, and reports whether it did. Several tasks may have read the configuration at different times.
+// Configure replaces the configuration if the new one supersedes it, and reports whether it did. Several tasks may have read the configuration at different times.
 func (f *Forwarder) Configure(t *router.Table) bool {
 	for {
 		old := f.table.Load()
-		if old != nil && old.Version() >= t.Version() {
+		if !t.Supersedes(old) {
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
--- a/router/spec.go
+++ b/router/spec.go
@@ -14,7 +14,11 @@
 // entries.
 type Spec struct {
 	// Version increases with each accepted configuration, not necessarily by 1.
-	Version  int64     `json:"version"`
+	Version int64 `json:"version"`
+	// Level is the level of the fields that the build which decoded the configuration of the
+	// operator knows. A lower one than SpecLevel means that it may lack fields: entries of earlier
+	// builds decode the configurations that they pass on, and drop the fields that they don't know.
+	Level    int       `json:"level,omitempty"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	// Customers are those whose keys requests bear; empty if requests need no keys.
@@ -22,6 +26,10 @@
 	Limits    Limits     `json:"limits"`
 }
 
+// SpecLevel is the level of this build: 1 means that customers are known. It rises with each field whose
+// absence would do harm.
+const SpecLevel = 1
+
 // Route describes how requests for one host and path prefix are served.
 type Route struct {
 	Name string `json:"name"`
--- a/router/table.go
+++ b/router/table.go
@@ -66,6 +66,15 @@
 // Version returns the configuration's version, or 0 for the zero table.
 func (t *Table) Version() int64 { return t.spec.Version }
 
+// Supersedes reports whether the configuration replaces that of another table, nil meaning none: it has
+// a higher version, or the same one with fields that the other lacks.
+func (t *Table) Supersedes(old *Table) bool { return t.spec.Supersedes(old) }
+
+// Supersedes implements Table.Supersedes.
+func (s *Spec) Supersedes(old *Table) bool {
+	return old == nil || s.Version > old.spec.Version || s.Version == old.spec.Version && s.Level > old.spec.Level
+}
+
 // Limits returns the limits that apply to callers.
 func (t *Table) Limits() Limits { return t.spec.Limits }
 
--- a/runner/apply.go
+++ b/runner/apply.go
@@ -28,33 +28,37 @@
 	return nil
 }
 
-// applyConfig puts a configuration in force if its version is higher than that
-// of the one in force. An invalid configuration is logged and skipped.
+// applyConfig puts the configuration of the replica in force if it supersedes the one in force. An
+// invalid configuration is logged and skipped.
 func (g *Gateway) applyConfig() {
 	for _, c := range g.state.All(tracker.Configs) {
-		if c.Config == nil {
-			continue
-		}
-		old := g.forwarder.Table()
-		if old != nil && c.Config.Version <= old.Version() {
-			continue
-		}
-		t, err := router.NewTable(*c.Config, old)
-		if err != nil {
-			g.log.Warn("configuration refused", "version", c.Config.Version, "rev", c.Revision, "error", err.Error())
-			continue
-		}
-		if !g.forwarder.Configure(t) {
-			continue
-		}
-		g.quotas.configure(time.Now(), c.Config)
-		g.log.Info("configuration in force", "version", t.Version(), "rev", c.Revision, "routes", len(c.Config.Routes), "customers", len(c.Config.Customers))
-		if n := t.AmbiguousKeys(); n > 0 {
-			g.log.Warn("keys belong to several customers, the first one has them", "version", t.Version(), "keys", n)
+		if c.Config != nil && g.acceptable(c.Config) {
+			g.applySpec(c.Config, c.Revision)
 		}
 	}
 }
 
+// applySpec puts a configuration of a revision of the store in force if it supersedes the one in force.
+func (g *Gateway) applySpec(s *router.Spec, revision uint64) {
+	old := g.forwarder.Table()
+	if !s.Supersedes(old) {
+		return
+	}
+	t, err := router.NewTable(*s, old)
+	if err != nil {
+		g.log.Warn("configuration refused", "version", s.Version, "rev", revision, "error", err.Error())
+		return
+	}
+	if !g.forwarder.Configure(t) {
+		return
+	}
+	g.quotas.configure(time.Now(), s)
+	g.log.Info("configuration in force", "version", t.Version(), "rev", revision, "routes", len(s.Routes), "customers", len(s.Customers))
+	if n := t.AmbiguousKeys(); n > 0 {
+		g.log.Warn("keys belong to several customers, the first one has them", "version", t.Version(), "keys", n)
+	}
+}
+
 // applyUpstreams updates the forwarder's upstreams to those that the store
 // lists and those that a lease still holds. It returns the time of the next
 // lease expiry, the zero time if there is none.
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -53,10 +53,13 @@
 	quarantiner *quarantiner.Quarantiner
 	quotas      *quotaExchange
 	refresher   refresher
-	reach       *reacher.Reach
-	monitor     *reacher.Monitor
-	requestLog  *reporter.RequestLogger
-	reporter    *reporter.Gateway
+	// unread is the highest version of a configuration that lacks fields and could not be read from
+	// the store.
+	unread     atomic.Int64
+	reach      *reacher.Reach
+	monitor    *reacher.Monitor
+	requestLog *reporter.RequestLogger
+	reporter   *reporter.Gateway
 	// callers serves the connections that callersListener accepts.
 	callers         *pipeliner.Server
 	callersListener net.Listener
@@ -294,7 +297,7 @@
 		ctx,
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.exchangeQuotas, g.quarantiner.Run, g.monitor.Run,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.completeConfigs, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.exchangeQuotas, g.quarantiner.Run, g.monitor.Run,
 	)
 }
 
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"poplarwind/announcer"
 )
@@ -20,7 +21,17 @@
 }
 
 // relays returns the addresses of the entries to which this one may relay requests for a
-// service while it is cut off from the upstreams: those that are assigned to it.
+// service while it is cut off from the upstreams: those that are assigned to it. Requests with the keys
+// of customers are relayed only to entries that check them.
 func (g *Gateway) relays(service string) []string {
-	return relays(g.process.Name(), g.membership().assignedAll(service))
+	entries := g.membership().assignedAll(service)
+	if t := g.forwarder.Table(); t != nil && t.HasCustomers() {
+		entries = checkingKeys(entries)
+	}
+	return relays(g.process.Name(), entries)
+}
+
+// checkingKeys returns the entries that check the keys of customers. The slice is new.
+func checkingKeys(entries []announcer.Member) []announcer.Member {
+	return slices.DeleteFunc(slices.Clone(entries), func(m announcer.Member) bool { return m.Level < announcer.LevelKeys })
 }
