--- a/runner/customer_gateway_test.go
+++ b/runner/customer_gateway_test.go
@@ -106,7 +106,7 @@
 func TestKeysThroughStore(t *testing.T) {
 	s := newCustomerEnv(t)
 	put := func(version int, keys ...string) {
-		s.store.PutCustomers(version, "h.example", "/a/", "jobs", imitator.Customer{Name: "acme", Keys: keys}, imitator.Customer{Name: "other", Keys: []string{"key-other"}})
+		s.store.PutCustomers(version, "h.example", "/a/", "jobs", imitator.Customer{Name: "acme", Keys: keys, Rate: 1000, Burst: 1000}, imitator.Customer{Name: "other", Keys: []string{"key-other"}})
 	}
 	put(4, "key-old")
 	a, b := s.start("e1", "1s"), s.start("e2", "1s")
