apportioner, forwarder: requests that waited for a stalled service stay within the quota

Cause: a request is counted when it is admitted. If a service stalls, its queue fills with counted requests, which reach upstreams together when it goes on: up to 661 requests in 5 s where the bound is 416.

Change: each entry has a bucket for what it sends, of its fraction of the burst.

--- a/apportioner/customer.go
+++ b/apportioner/customer.go
@@ -47,6 +47,9 @@
 	// last one arrived.
 	demand float64
 	usedAt time.Time
+	// sent is the token bucket of the requests that this entry sends to upstreams as of sentAt.
+	sent   float64
+	sentAt time.Time
 	// admitted and rejected count requests since the start of the entry. Admissions that were
 	// returned are not in admitted but in returned.
 	admitted, rejected, returned int64
--- a/apportioner/table.go
+++ b/apportioner/table.go
@@ -321,10 +321,7 @@
 	default:
 		c.rejected++
 		t.totals.Rejected++
-		return Decision{
-			RetryAfter: t.retryAfter(now, c, level), Level: level, Portion: c.portion, Fraction: t.share(now, c),
-			Demand: c.demand, Total: c.total, Isolated: isolated,
-		}
+		return t.rejection(now, c, level)
 	}
 	c.level--
 	c.admitted++
@@ -332,6 +329,14 @@
 	return Decision{Admitted: true}
 }
 
+// rejection returns the decision to reject a request. The lock must be held.
+func (t *Table) rejection(now time.Time, c *customer, level float64) Decision {
+	return Decision{
+		RetryAfter: t.retryAfter(now, c, level), Level: level, Portion: c.portion, Fraction: t.share(now, c),
+		Demand: c.demand, Total: c.total, Isolated: t.isolated(),
+	}
+}
+
 // retryAfter returns the time until both buckets have room, with jitter. The lock must be held.
 func (t *Table) retryAfter(now time.Time, c *customer, level float64) time.Duration {
 	wait := max((1-c.portion)/(max(t.share(now, c), idleDemand)*c.limit.Rate), (1-level)/c.limit.Rate)
--- a/forwarder/customer.go
+++ b/forwarder/customer.go
@@ -85,9 +85,24 @@
 	return nil
 }
 
-// returnUnusedQuota returns the admission to the quota if the request was sent to no upstream.
+// lateForQuota reports whether the request, which has not been sent yet, was admitted to the quota so long
+// ago that it must not be sent any more.
+func (x *exchange) lateForQuota() bool {
+	if x.countedAt.IsZero() || x.attempts() > 0 {
+		return false
+	}
+	now := time.Now()
+	d := x.forwarder.options.Quota.Send(now, x.customer.Name, now.Sub(x.countedAt))
+	if !d.Admitted {
+		x.retryAfter, x.quota = d.RetryAfter, &d
+	}
+	return !d.Admitted
+}
+
+// returnUnusedQuota returns the admission to the quota if the request was sent to no upstream, unless it
+// was rejected as late.
 func (x *exchange) returnUnusedQuota() {
-	if !x.countedAt.IsZero() && len(x.attempted) == 0 {
+	if !x.countedAt.IsZero() && len(x.attempted) == 0 && x.quota == nil {
 		x.forwarder.options.Quota.Return(time.Now(), x.customer.Name)
 	}
 }
--- a/forwarder/customer_test.go
+++ b/forwarder/customer_test.go
@@ -349,7 +349,15 @@
 }
 
 // scriptedQuota admits a number of requests and counts what it is asked.
-type scriptedQuota struct{ left, asked, returned int }
+type scriptedQuota struct {
+	left, asked, returned int
+	// late is set if admitted requests are late.
+	late bool
+}
+
+func (q *scriptedQuota) Send(time.Time, string, time.Duration) apportioner.Decision {
+	return apportioner.Decision{Admitted: !q.late, RetryAfter: 300 * time.Millisecond}
+}
 
 func (q *scriptedQuota) Admit(time.Time, string) apportioner.Decision {
 	q.asked++
@@ -390,6 +398,12 @@
 		if got := send(f, "/any/1", "c").StatusCode(); got != 200 || q.asked != asked {
 			t.Errorf("anonymous: got: %d, %d counted want: 200, 0", got, q.asked-asked)
 		}
+		q.left, q.late = 1, true
+		resp = sendKey(f, "/order/1", "late")
+		if got := resp.StatusCode(); got != fasthttp.StatusTooManyRequests || string(resp.Header.Peek("Retry-After")) != "0.300" || tb.runs["late"] != 0 || q.returned != 0 {
+			t.Errorf("late: got: %d, Retry-After %q, %d runs, %d returned want: 429, 0.300, 0, 0", got, resp.Header.Peek("Retry-After"), tb.runs["late"], q.returned)
+		}
+		q.late = false
 		for i := range 3 {
 			f.RemoveUpstream(fmt.Sprint("u", i))
 		}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -203,6 +203,9 @@
 	if x.quarantined() {
 		return errQuarantined
 	}
+	if errors.Is(o.err, errOverQuota) {
+		return errOverQuota
+	}
 	if x.attempts() >= x.route.Attempts {
 		return errNoRetry
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,8 @@
 type Quota interface {
 	// Admit decides whether a request of the customer is within the quota.
 	Admit(now time.Time, customer string) apportioner.Decision
+	// Send decides whether an admitted request that has waited may be sent.
+	Send(now time.Time, customer string, waited time.Duration) apportioner.Decision
 	// Return returns the admission of a request that was sent to no upstream.
 	Return(now time.Time, customer string)
 }
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -51,7 +51,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), isLocal(o.err):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), errors.Is(o.err, errOverQuota), isLocal(o.err):
 		return placer.Abandoned
 	default:
 		return placer.Failed
@@ -72,6 +72,9 @@
 	case x.service.barred(cand.upstream):
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errBarred
+	case x.lateForQuota():
+		x.forwarder.pool.Put(cand.conn)
+		o.err = errOverQuota
 	default:
 		x.attempted = append(x.attempted, cand.upstream)
 		x.roundTrip(cand, &o)
