tracker, runner: a configuration that was read again replaces the incomplete one in the replica

Cause: the replica kept what an entry of an earlier build had passed on, also after the last one was upgraded. An entry that started while the store was away had the configuration without customers from it.

Change: the configuration that was read from the store replaces that of the same revision in the replica and its log.

--- a/runner/complete.go
+++ b/runner/complete.go
@@ -88,6 +88,7 @@
 	}
 	for _, c := range d.Changes {
 		if c.Config != nil && c.Config.Version >= version {
+			g.state.CompleteConfig(c.Name, c.Revision, c.Config)
 			g.applySpec(c.Config, c.Revision)
 			return g.checkComplete(version)
 		}
--- a/runner/complete_test.go
+++ b/runner/complete_test.go
@@ -17,7 +17,7 @@
 
 // passOn applies the configuration of the store to the replica of an entry as an entry of an earlier build
 // passes it on: without the fields that such a build does not know.
-func passOn(t *testing.T, g *Gateway, version int64) {
+func passOn(t *testing.T, g *Gateway, version int64, revision uint64) {
 	t.Helper()
 	s := router.Spec{
 		Version: version, Level: router.SpecLevel, Services: []router.Service{{Name: "jobs"}},
@@ -41,7 +41,7 @@
 	if err := json.Unmarshal(text, &config); err != nil {
 		t.Fatal(err)
 	}
-	d := tracker.Delta{Kind: tracker.Configs, AsOf: uint64(100 + version), Snapshot: true, Changes: []tracker.Change{{Name: "main", Revision: uint64(version), Config: &config}}}
+	d := tracker.Delta{Kind: tracker.Configs, AsOf: revision, Snapshot: true, Changes: []tracker.Change{{Name: "main", Revision: revision, Config: &config}}}
 	if _, err := g.state.Apply(time.Now(), d); err != nil {
 		t.Fatal(err)
 	}
@@ -100,11 +100,11 @@
 					t.Fatal(err)
 				}
 			}
-			s.store.PutCustomers(5, "h.example", "/a/", "jobs", customer)
+			revision := s.store.PutCustomers(5, "h.example", "/a/", "jobs", customer)
 			if v.away {
 				s.store.SetFaults(imitator.Faults{Status: 503})
 			}
-			passOn(t, g, 5)
+			passOn(t, g, 5, revision)
 			if v.away {
 				time.Sleep(completeDelay + minCompletePause/2)
 				table := g.forwarder.Table()
@@ -125,6 +125,12 @@
 					t.Fatalf("got: %+v want: version 5 with customers", table)
 				}
 			}
+			// The replica must pass the complete configuration on, from which others may start.
+			for name, d := range map[string]tracker.Delta{"snapshot": g.state.Since(tracker.Configs, 0, 0), "change": g.state.Since(tracker.Configs, 0, revision-1)} {
+				if len(d.Changes) != 1 || d.Changes[0].Config == nil || len(d.Changes[0].Config.Customers) != 1 {
+					t.Errorf("%s passed on: got: %+v want: one configuration with a customer", name, d.Changes)
+				}
+			}
 			// The replica changes again: the same configuration without customers must not replace it.
 			g.applyConfig()
 			if table := g.forwarder.Table(); !table.HasCustomers() || table.Customer([]byte("key-acme")) == nil {
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -139,6 +139,27 @@
 	return missing, nil
 }
 
+// CompleteConfig replaces the configuration of an object at a revision by one that was decoded with more
+// fields. The replica would otherwise keep, and pass on, what an entry of an earlier build had passed on.
+func (s *State) CompleteConfig(name string, revision uint64, spec *router.Spec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &s.kinds[Configs]
+	incomplete := func(c Change) bool { return c.Name == name && c.Revision == revision && c.Config != nil }
+	if c := r.items[name]; incomplete(c) {
+		c.Config = spec
+		r.items[name] = c
+	}
+	for i, d := range r.log {
+		j := slices.IndexFunc(d.Changes, incomplete)
+		if j >= 0 {
+			// Others may hold the slice.
+			r.log[i].Changes = slices.Clone(d.Changes)
+			r.log[i].Changes[j].Config = spec
+		}
+	}
+}
+
 // startEra replaces the items by a snapshot of a later era and returns those that differ.
 // The revisions of the two eras can't be compared.
 func (r *replica) startEra(d Delta) []Change {
