--- a/apportioner/table.go
+++ b/apportioner/table.go
@@ -74,6 +74,15 @@
 	// isolatedAt is when this entry was cut off from most others, zero if it is not.
 	isolatedAt time.Time
 	leaving    bool
+	totals     Totals
+}
+
+// Totals counts the decisions on requests of customers with a quota since the start of the entry.
+type Totals struct {
+	Admitted int64 `json:"admitted"`
+	Rejected int64 `json:"rejected"`
+	// Returned counts the admissions of requests that were sent to no upstream.
+	Returned int64 `json:"returned"`
 }
 
 // New returns the table of the entry named self that was started at epoch, with no quotas. The
@@ -311,16 +320,23 @@
 		c.spare++
 	default:
 		c.rejected++
-		return Decision{
-			RetryAfter: t.retryAfter(now, c, level), Level: level, Portion: c.portion, Fraction: t.share(now, c),
-			Demand: c.demand, Total: c.total, Isolated: isolated,
-		}
+		t.totals.Rejected++
+		return t.rejection(now, c, level)
 	}
 	c.level--
 	c.admitted++
+	t.totals.Admitted++
 	return Decision{Admitted: true}
 }
 
+// rejection returns the decision to reject a request. The lock must be held.
+func (t *Table) rejection(now time.Time, c *customer, level float64) Decision {
+	return Decision{
+		RetryAfter: t.retryAfter(now, c, level), Level: level, Portion: c.portion, Fraction: t.share(now, c),
+		Demand: c.demand, Total: c.total, Isolated: t.isolated(),
+	}
+}
+
 // retryAfter returns the time until both buckets have room, with jitter. The lock must be held.
 func (t *Table) retryAfter(now time.Time, c *customer, level float64) time.Duration {
 	wait := max((1-c.portion)/(max(t.share(now, c), idleDemand)*c.limit.Rate), (1-level)/c.limit.Rate)
@@ -338,6 +354,8 @@
 	}
 	t.settle(now, c)
 	c.admitted--
+	c.returned++
+	t.totals.Returned++
 	c.level++
 	c.portion = min(c.portion+1, c.portionCapacity())
 }
@@ -427,11 +445,12 @@
 	switch {
 	case p != nil && m.Epoch < p.epoch:
 		return nil
-	case p != nil && (m.Epoch > p.epoch || m.Leaving):
+	case p != nil && m.Epoch > p.epoch:
 		t.drop(p)
 		p = nil
 	}
 	if m.Leaving {
+		t.leave(now, p, &m)
 		return nil
 	}
 	first := p == nil
@@ -457,6 +476,17 @@
 	return nil
 }
 
+// leave applies the last report of a peer and forgets it, if it is known. The lock must be held.
+func (t *Table) leave(now time.Time, p *peer, m *Message) {
+	if p == nil {
+		return
+	}
+	for i := range m.Counts {
+		t.apply(now, p, &m.Counts[i], false, false)
+	}
+	t.drop(p)
+}
+
 // expire returns a time that is old enough for a fraction to be determined again.
 func expire(at, now time.Time) time.Time {
 	if at.IsZero() {
@@ -537,8 +567,26 @@
 	Fraction float64 `json:"fraction"`
 	Demand   float64 `json:"demand"`
 	Total    float64 `json:"total"`
-	Admitted int64   `json:"admitted"`
-	Rejected int64   `json:"rejected"`
+	// Admitted counts the requests that were admitted, Returned those of them that were sent to
+	// no upstream, and Rejected the others.
+	Admitted int64 `json:"admitted"`
+	Returned int64 `json:"returned"`
+	Rejected int64 `json:"rejected"`
+}
+
+// Totals returns the number of decisions on all customers.
+func (t *Table) Totals() Totals {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.totals
+}
+
+// MostRejected returns the state of the n customers with the most rejections, those with the most first.
+// Customers without rejections are left out.
+func (t *Table) MostRejected(now time.Time, n int) []Status {
+	list := slices.DeleteFunc(t.Status(now), func(s Status) bool { return s.Rejected == 0 })
+	slices.SortStableFunc(list, func(a, b Status) int { return cmp.Compare(b.Rejected, a.Rejected) })
+	return list[:min(n, len(list))]
 }
 
 // Status returns the state of all customers with recent requests, in order of name.
@@ -550,7 +598,8 @@
 		level := t.settle(now, c)
 		out = append(out, Status{
 			Customer: name, Rate: c.limit.Rate, Burst: c.limit.Burst, Level: level, Portion: c.portion,
-			Fraction: t.share(now, c), Demand: c.decayed(now), Total: c.total, Admitted: c.admitted, Rejected: c.rejected,
+			Fraction: t.share(now, c), Demand: c.decayed(now), Total: c.total,
+			Admitted: c.admitted + c.returned, Returned: c.returned, Rejected: c.rejected,
 		})
 	}
 	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.Customer, b.Customer) })
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"poplarwind/apportioner"
 	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
@@ -32,6 +34,8 @@
 type Quota interface {
 	// Admit decides whether a request of the customer is within the quota.
 	Admit(now time.Time, customer string) apportioner.Decision
+	// Send decides whether an admitted request that has waited may be sent.
+	Send(now time.Time, customer string, waited time.Duration) apportioner.Decision
 	// Return returns the admission of a request that was sent to no upstream.
 	Return(now time.Time, customer string)
 }
@@ -90,7 +94,7 @@
 	// are none.
 	Quota Quota
 	// Refresh loads the newest configuration that is available before ctx
-	// expires. It is called when a request matches no route. Nil disables it.
+	// expires. It is called when a request matches no route or has an unknown key. Nil disables it.
 	Refresh func(ctx context.Context)
 	// OnComplete is called with the outcome of each request, if it is not nil.
 	OnComplete func(*Record)
@@ -168,12 +172,11 @@
 	return f
 }
 
-// Configure replaces the configuration unless the one in force has the same version or a higher
-// one, and reports whether it did. Several tasks may have read the configuration at different times.
+// Configure replaces the configuration if the new one supersedes it, and reports whether it did. Several tasks may have read the configuration at different times.
 func (f *Forwarder) Configure(t *router.Table) bool {
 	for {
 		old := f.table.Load()
-		if old != nil && old.Version() >= t.Version() {
+		if !t.Supersedes(old) {
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
@@ -320,7 +323,9 @@
 	}
 	host, uri := string(c.Request.Host()), string(c.Request.Header.RequestURI())
 	err := x.identify(t, host, uri)
-	if err != nil && f.options.Refresh != nil {
+	// No newer configuration knows a customer for a request without a key, and a flood of such
+	// requests must not wait for the store.
+	if err != nil && !errors.Is(err, errNoKey) && f.options.Refresh != nil {
 		refreshCtx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 		f.options.Refresh(refreshCtx)
 		cancel()
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -52,10 +52,14 @@
 	forwarder   *forwarder.Forwarder
 	quarantiner *quarantiner.Quarantiner
 	quotas      *quotaExchange
-	reach       *reacher.Reach
-	monitor     *reacher.Monitor
-	requestLog  *reporter.RequestLogger
-	reporter    *reporter.Gateway
+	refresher   refresher
+	// unread is the highest version of a configuration that lacks fields and could not be read from
+	// the store.
+	unread     atomic.Int64
+	reach      *reacher.Reach
+	monitor    *reacher.Monitor
+	requestLog *reporter.RequestLogger
+	reporter   *reporter.Gateway
 	// callers serves the connections that callersListener accepts.
 	callers         *pipeliner.Server
 	callersListener net.Listener
@@ -158,7 +162,7 @@
 	})
 	g.reporter, err = reporter.NewGateway(reporter.GatewaySources{
 		Name: p.Name(), Start: start, Ready: g.ready, State: g.state, Table: g.table,
-		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, Listeners: g.listenerUsage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
+		Announcer: g.announcer, Forwarder: g.forwarder, Quarantine: quarantine, Quotas: g.quotas.table, Reach: g.reach, StoreCalls: g.store.Calls, Memory: budget.Usage, Connections: g.callers.Connections, Listeners: g.listenerUsage, UnreadHeaders: unread.Counts, StoreEra: g.storeEra, DroppedLogLines: dropped,
 	})
 	if err != nil {
 		return nil, err
@@ -249,14 +253,6 @@
 // itself.
 func (g *Gateway) serving() bool { return g.ready() && !g.reach.Cut() }
 
-// refreshConfig reads the configuration from the store and applies it, unless the
-// local cache is recent enough.
-func (g *Gateway) refreshConfig(ctx context.Context) {
-	if g.tracker.Refresh(ctx, tracker.Configs) {
-		g.applyConfig()
-	}
-}
-
 // accept returns a listener that outlives a want of descriptors: idle connections of callers
 // are then closed.
 func (g *Gateway) accept(l net.Listener) net.Listener {
@@ -301,7 +297,7 @@
 		ctx,
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
-		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.exchangeQuotas, g.quarantiner.Run, g.monitor.Run,
+		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.completeConfigs, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.exchangeQuotas, g.quarantiner.Run, g.monitor.Run,
 	)
 }
 
