tracker, parser: evacuations of failure domains as a third kind

Cause: operators ask through objects evacuations/DOMAIN of the store that the upstreams of a failure domain get no requests. No entry read them.

Positions of kinds that are not replicated are left out of messages, so that entries without the setting send what the previous build sends.

Measured: the tests of tracker, parser and platform pass.

--- a/parser/gateway.go
+++ b/parser/gateway.go
@@ -17,6 +17,7 @@
 	LinkMbps             float64       `json:"link"`
 	Bootstrap            bool          `json:"first"`
 	QuotaTolerance       float64       `json:"tolerance"`
+	EvacuationTime       time.Duration `json:"evacuate"`
 }
 
 func (d *document) checkGateway(g *gatewaySpec) error {
@@ -36,9 +37,21 @@
 		checkRange(d, "gateway.cores", g.Cores, 0, 1024),
 		checkRange(d, "gateway.link", g.LinkMbps, 0, 1e6),
 		checkRange(d, "gateway.tolerance", g.QuotaTolerance, 0, 1e6),
+		checkEvacuationTime(d, g.EvacuationTime),
 	)
 }
 
+// minEvacuationTime is the shortest time in which all entries learn of an evacuation although the
+// entry that watches the store has died.
+const minEvacuationTime = 2500 * time.Millisecond
+
+func checkEvacuationTime(d *document, t time.Duration) error {
+	if t == 0 {
+		return nil
+	}
+	return checkRange(d, "gateway.evacuate", t, minEvacuationTime, time.Hour)
+}
+
 // Gateway holds the settings of an entry that runs on the users' platform.
 type Gateway struct {
 	// spec has passed all range checks if the gateway is enabled.
@@ -90,5 +103,9 @@
 // a customer in a few seconds, 0 if none.
 func (g Gateway) QuotaTolerance() float64 { return g.spec.QuotaTolerance }
 
+// EvacuationTime returns the time within which the evacuation of a failure domain is in force after
+// the store has acknowledged it, 0 if there are no evacuations.
+func (g Gateway) EvacuationTime() time.Duration { return g.spec.EvacuationTime }
+
 // MemoryLimitMiB returns the memory limit of the process in MiB, 0 if unlimited.
 func (g Gateway) MemoryLimitMiB() int { return g.spec.MemoryLimitMiB }
--- a/tracker/disseminate.go
+++ b/tracker/disseminate.go
@@ -17,8 +17,8 @@
 // Update is a message that reports the state of an entry's replica to other
 // entries.
 type Update struct {
-	From      string          `json:"from"`
-	Positions [Kinds]Position `json:"marks"`
+	From      string    `json:"from"`
+	Positions Positions `json:"marks"`
 	// Deltas holds the latest changes of each kind that has any.
 	Deltas []Delta `json:"deltas,omitempty"`
 	// Unreachable holds the entries that are marked as unable to reach the
@@ -28,7 +28,7 @@
 
 // Disseminate sends updates to this entry's recipients until ctx ends.
 func (t *Tracker) Disseminate(ctx context.Context) error {
-	var sent [Kinds]Position
+	var sent Positions
 	for ctx.Err() == nil {
 		select {
 		case <-t.updated:
@@ -43,6 +43,9 @@
 			continue
 		}
 		for k := range Kinds {
+			if t.watchWaits[k] == 0 {
+				continue
+			}
 			u.Positions[k] = t.state.Position(now, k)
 			if p := u.Positions[k]; p.Era == sent[k].Era && p.AsOf > sent[k].AsOf && sent[k].AsOf > 0 {
 				u.Deltas = append(u.Deltas, t.state.Since(k, sent[k].Era, sent[k].AsOf))
@@ -75,7 +78,7 @@
 	now := time.Now()
 	forward := t.markUnreachable(u.Unreachable)
 	for _, d := range u.Deltas {
-		if d.Kind < 0 || d.Kind >= Kinds || !u.Positions[d.Kind].valid() {
+		if d.Kind < 0 || d.Kind >= Kinds || t.watchWaits[d.Kind] == 0 || !u.Positions[d.Kind].valid() {
 			continue
 		}
 		if changes, err := t.state.Apply(now.Add(-u.Positions[d.Kind].Age), d); err == nil {
@@ -84,7 +87,7 @@
 		}
 	}
 	for k := range Kinds {
-		if !u.Positions[k].valid() {
+		if t.watchWaits[k] == 0 || !u.Positions[k].valid() {
 			continue
 		}
 		known, newer := t.state.ConfirmFresh(now.Add(-u.Positions[k].Age), k, u.Positions[k].Era, u.Positions[k].AsOf)
--- a/tracker/kind_string.go
+++ b/tracker/kind_string.go
@@ -10,12 +10,13 @@
 	var x [1]struct{}
 	_ = x[Configs-0]
 	_ = x[Upstreams-1]
-	_ = x[Kinds-2]
+	_ = x[Evacuations-2]
+	_ = x[Kinds-3]
 }
 
-const _Kind_name = "configupstreamskinds"
+const _Kind_name = "configupstreamsevacuationskinds"
 
-var _Kind_index = [...]uint8{0, 6, 15, 20}
+var _Kind_index = [...]uint8{0, 6, 15, 26, 31}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/tracker/log.go
+++ b/tracker/log.go
@@ -30,6 +30,8 @@
 	switch {
 	case c.Removed:
 		t.log.Info("object removed", attrs...)
+	case k == Evacuations:
+		t.log.Info("failure domain evacuated", attrs...)
 	case c.Config == nil && c.Upstream == nil:
 		t.log.Warn("object can't be decoded and is ignored", attrs...)
 	case c.Upstream != nil:
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -21,6 +22,9 @@
 const (
 	Configs   Kind = iota // config
 	Upstreams             // upstreams
+	// Evacuations has an object for each failure domain whose upstreams get no requests. It is
+	// replicated only if the tracker is told to.
+	Evacuations // evacuations
 	// Kinds is the number of kinds.
 	Kinds // kinds
 )
@@ -355,6 +359,23 @@
 	return era > 0 && era < p.Era || (era == 0 || era == p.Era) && asOf < p.AsOf
 }
 
+// Positions holds the position of each kind. Builds differ in the number of kinds: decoding ignores
+// those that are not known here, and leaves out of reach those that the sender does not know.
+type Positions [Kinds]Position
+
+// optionalKinds is the first kind that entries replicate only if they are told to.
+const optionalKinds = Evacuations
+
+// MarshalJSON implements json.Marshaler. Kinds that are not replicated are left out, so that the
+// message is that of the builds that do not know them.
+func (p Positions) MarshalJSON() ([]byte, error) {
+	n := len(p)
+	for n > int(optionalKinds) && p[n-1].AsOf == 0 {
+		n--
+	}
+	return json.Marshal(p[:n])
+}
+
 // valid reports whether a position received from another entry can be used.
 func (p Position) valid() bool { return p.Age >= 0 && p.Age <= maxAge }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -109,6 +109,8 @@
 	// for the membership to settle.
 	start  time.Time
 	settle time.Duration
+	// watchWaits is how long a watch of each kind waits, 0 for kinds that are not replicated.
+	watchWaits [Kinds]time.Duration
 	// initial is set at the first start of the whole deployment. An entry without
 	// a replica lists the store's objects acquireDelay after its start.
 	initial      bool
@@ -141,9 +143,30 @@
 // live returns the live entries in order of name, including this one; the tracker
 // does not modify the slice.
 func New(s *State, source Source, peers Peers, self string, live func() []announcer.Member, log *slog.Logger) *Tracker {
-	return &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, updated: make(chan struct{}, 1), start: time.Now(), settle: settleTime, acquireDelay: 1 + rand.N(acquireSpread), unreachable: make(map[string]time.Time)}
+	t := &Tracker{state: s, source: source, peers: peers, self: self, live: live, log: log, updated: make(chan struct{}, 1), start: time.Now(), settle: settleTime, acquireDelay: 1 + rand.N(acquireSpread), unreachable: make(map[string]time.Time)}
+	t.watchWaits = [Kinds]time.Duration{Configs: watchWait, Upstreams: watchWait}
+	return t
 }
 
+// Replicate makes the tracker replicate an optional kind, whose changes must be in force within
+// limit. It must be called before Follow.
+func (t *Tracker) Replicate(k Kind, limit time.Duration) {
+	n := int((limit - DetectionTime() - retryReserve) / watchWait)
+	t.watchWaits[k] = watchWait * time.Duration(min(max(1+n, 1), maxWatchMultiple))
+}
+
+const (
+	// retryReserve is the part of the limit for a change that is left for one failed read and
+	// its repetition.
+	retryReserve = 1100 * time.Millisecond
+	// maxWatchMultiple bounds the wait of a watch to 6 s, for which the store keeps the call open.
+	maxWatchMultiple = 8
+)
+
+// staleAge returns the age of the replica of a kind at which an entry that receives no updates
+// reads the store itself.
+func (t *Tracker) staleAge(k Kind) time.Duration { return staleAge - watchWait + t.watchWaits[k] }
+
 // Follow keeps the replica of one kind up to date until ctx ends.
 func (t *Tracker) Follow(ctx context.Context, k Kind) error {
 	nextPaced := time.Time{}
@@ -151,13 +174,13 @@
 		now := time.Now()
 		position, role := t.state.Position(now, k), t.role(now)
 		settled := now.Sub(t.start) - t.settle
-		limit := readAge(role)
+		limit := t.readAge(k, role)
 		readable, queryable := t.ages(position, settled)
 		switch {
 		case position.AsOf == 0:
 			t.acquire(ctx, k)
 		case settled > 0 && role.Watch:
-			t.read(ctx, k, role, position, alignedWait(now))
+			t.read(ctx, k, role, position, alignedWait(now, t.watchWaits[k]))
 		case queryable <= limit:
 			sleeper.Sleep(ctx, min(checkInterval, limit-queryable+time.Millisecond))
 		case readable > limit && role.Rank < readersPerDomain && t.mayRead(now):
@@ -189,7 +212,7 @@
 func (t *Tracker) queryOrRead(ctx context.Context, k Kind, role Role, position Position, mayRead bool, nextPaced time.Time) time.Time {
 	now := time.Now()
 	replied := t.queryPeers(ctx, k, role)
-	fresh := t.state.Position(time.Now(), k).Age <= staleAge
+	fresh := t.state.Position(time.Now(), k).Age <= t.staleAge(k)
 	paced := !now.Before(nextPaced)
 	if paced {
 		nextPaced = now.Add(rand.N(2*readPacePerEntry*time.Duration(max(role.Size, 1))) + readBackoff)
@@ -204,10 +227,10 @@
 	return nextPaced
 }
 
-// readAge returns the age of the replica at which an entry reads the store or, if
+// readAge returns the age of the replica of a kind at which an entry reads the store or, if
 // it is not a reader, queries other entries.
-func readAge(r Role) time.Duration {
-	return staleAge + time.Duration(min(r.Rank, readersPerDomain))*rankDelay
+func (t *Tracker) readAge(k Kind, r Role) time.Duration {
+	return t.staleAge(k) + time.Duration(min(r.Rank, readersPerDomain))*rankDelay
 }
 
 // read reads the changes since a position from the store. A reader that receives no
@@ -328,13 +351,13 @@
 	return d
 }
 
-// alignedWait returns how long a watch that starts now waits. The watches of
-// all kinds end at the same multiples of watchWait, so that one update covers
-// all kinds.
-func alignedWait(now time.Time) time.Duration {
-	d := watchWait - time.Duration(now.UnixNano()%int64(watchWait))
+// alignedWait returns how long a watch that starts now waits, at most about the
+// given wait. The watches of all kinds end at multiples of watchWait, so that one
+// update covers all kinds.
+func alignedWait(now time.Time, wait time.Duration) time.Duration {
+	d := wait - time.Duration(now.UnixNano()%int64(wait))
 	if d < minWatchWait {
-		d += watchWait
+		d += wait
 	}
 	return d
 }
