placer, forwarder, router, platform: evacuated domains and cold upstreams

Cause: upstreams that have just started, or come back after an evacuation, were sent as many requests as warm ones, and crash at that rate.

Change: a fleet has a set of evacuated domains, whose upstreams are not usable, and the warm-up rate of its service. A cold upstream is sent requests from a token bucket for this entry's fraction of that rate. An entry learns of the cold state from the registration, from load probes and from other entries. What only the registration or the end of an evacuation says is checked by a load probe, which may also be sent to an upstream that may get no request. Without a warm-up rate nothing counts as cold.

--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -60,4 +60,11 @@
 	// parsed.
 	Pause      time.Duration
 	PauseError error
+	// Warmup is how much longer the upstream is cold, 0 if it is not. WarmupError reports a
+	// statement of it that can't be parsed.
+	Warmup      time.Duration
+	WarmupError error
+	// WarmupStated is set by the forwarder if the response says whether the upstream is cold: it
+	// states a warm-up, or is that to a load probe and states none.
+	WarmupStated bool
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -18,25 +18,27 @@
 
 // Errors that end a request without an upstream response.
 const (
-	errDraining     = errors.ConstError("entry is leaving")
-	errNoConfig     = errors.ConstError("no configuration is known yet")
-	errNoRoute      = errors.ConstError("no route matches")
-	errOverQuota    = errors.ConstError("quota of the customer is used up")
-	errNoCustomer   = errors.ConstError("no customer has the key of the request")
-	errBodyTooLarge = errors.ConstError("body is larger than the configuration allows")
-	errNoSlot       = errors.ConstError("no upstream has a slot in time")
-	errRateLimited  = errors.ConstError("rate limits of all upstreams are left to other entries")
-	errPaused       = errors.ConstError("all upstreams have asked for pauses")
-	errBarred       = errors.ConstError("upstream wants no requests")
-	errQuarantined  = errors.ConstError("upstreams crash when they run this request")
-	errCutOff       = errors.ConstError("upstreams are out of reach, and no other entry took the request")
-	errNoUpstream   = errors.ConstError("service has no upstream")
-	errDisconnected = errors.ConstError("caller left")
-	errTimeout      = errors.ConstError("time limit passed")
-	errNoRetry      = errors.ConstError("not run, and no retry is left")
-	errIncomplete   = errors.ConstError("upstream gave no whole answer")
-	errUnproven     = errors.ConstError("upstream rejected the request without stating that it did not run")
-	errOverdue      = errors.ConstError("response is overdue")
+	errDraining      = errors.ConstError("entry is leaving")
+	errNoConfig      = errors.ConstError("no configuration is known yet")
+	errNoEvacuations = errors.ConstError("evacuations are not known yet")
+	errEvacuated     = errors.ConstError("failure domains of all upstreams are evacuated")
+	errNoRoute       = errors.ConstError("no route matches")
+	errOverQuota     = errors.ConstError("quota of the customer is used up")
+	errNoCustomer    = errors.ConstError("no customer has the key of the request")
+	errBodyTooLarge  = errors.ConstError("body is larger than the configuration allows")
+	errNoSlot        = errors.ConstError("no upstream has a slot in time")
+	errRateLimited   = errors.ConstError("rate limits of all upstreams are left to other entries")
+	errPaused        = errors.ConstError("all upstreams have asked for pauses")
+	errBarred        = errors.ConstError("upstream wants no requests")
+	errQuarantined   = errors.ConstError("upstreams crash when they run this request")
+	errCutOff        = errors.ConstError("upstreams are out of reach, and no other entry took the request")
+	errNoUpstream    = errors.ConstError("service has no upstream")
+	errDisconnected  = errors.ConstError("caller left")
+	errTimeout       = errors.ConstError("time limit passed")
+	errNoRetry       = errors.ConstError("not run, and no retry is left")
+	errIncomplete    = errors.ConstError("upstream gave no whole answer")
+	errUnproven      = errors.ConstError("upstream rejected the request without stating that it did not run")
+	errOverdue       = errors.ConstError("response is overdue")
 )
 
 // exchange is the state of one request from arrival to response.
@@ -278,6 +280,11 @@
 		s.mu.Unlock()
 		return candidate{}, errNoUpstream
 	}
+	if s.fleet.AllEvacuated() {
+		x.retryAfter = noSlotsWait
+		s.mu.Unlock()
+		return candidate{}, errEvacuated
+	}
 	if wait, paused := s.fleet.PauseLeft(now); paused && now.Add(wait+x.minServiceTime()).After(x.deadline) {
 		x.retryAfter = wait
 		s.mu.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,6 +76,12 @@
 	// requests per second, that this entry may use. The fractions of all entries add
 	// up to 1. Nil means a single entry.
 	LimitFraction func(u placer.Spec, rate float64) float64
+	// WarmupFraction returns the fraction of the warm-up rate of a cold upstream, in requests per
+	// second, that this entry may use. The fractions of all entries add up to at most 1.
+	// Nil means a single entry.
+	WarmupFraction func(u placer.Spec, rate float64) float64
+	// AwaitEvacuations makes the entry reject requests until SetEvacuated was called.
+	AwaitEvacuations bool
 	// Quarantine holds the requests that are not forwarded because upstreams crash
 	// when they run them. Nil means a table of this entry alone.
 	Quarantine *quarantiner.Table
@@ -127,8 +133,12 @@
 	closed atomic.Bool
 	// end is when the entry stops, nil if no stop is planned.
 	end atomic.Pointer[time.Time]
+	// evacuationsKnown is set when the evacuated failure domains were set.
+	evacuationsKnown atomic.Bool
 
 	mu sync.Mutex
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
 	// services holds each service that has an upstream, or had one or a routed
 	// request in the last serviceTTL, by name.
 	services map[string]*service
@@ -150,6 +160,9 @@
 	if o.LimitFraction == nil {
 		o.LimitFraction = func(placer.Spec, float64) float64 { return 1 }
 	}
+	if o.WarmupFraction == nil {
+		o.WarmupFraction = func(placer.Spec, float64) float64 { return 1 }
+	}
 	if o.Quarantine == nil {
 		o.Quarantine = quarantiner.NewTable()
 	}
@@ -177,6 +190,7 @@
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
+			f.configureWarmups()
 			return true
 		}
 	}
@@ -236,9 +250,14 @@
 	f.mu.Unlock()
 	s := f.service(u.Service)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.fleet.Put(now, u)
 	s.dispatchQueued(now)
+	var cold []*placer.Upstream
+	if p := s.fleet.Find(u.ID); s.fleet.IsCold(now, p) {
+		cold = append(cold, p)
+	}
+	s.mu.Unlock()
+	s.updateWarmupFractions(f.options, now, cold)
 }
 
 // RemoveUpstream removes an upstream. Its requests in flight are not interrupted.
@@ -258,6 +277,8 @@
 	if s == nil {
 		s = &service{name: name, reach: f.options.Reach.Service(name), serviceTimes: make(map[string]*placer.ServiceTime)}
 		s.fleet.Domain = f.options.Domain
+		s.fleet.SetEvacuated(time.Now(), f.evacuated)
+		s.configureWarmup(f.table.Load())
 		s.updateLimits(f.options, time.Now())
 		f.services[name] = s
 	}
@@ -275,6 +296,7 @@
 	for _, s := range services {
 		s.updateLimits(f.options, time.Now())
 		s.updateLimitFractions(f.options, time.Now())
+		s.updateColdFractions(f.options, time.Now())
 	}
 }
 
@@ -314,6 +336,10 @@
 	if f.closed.Load() {
 		return x, errDraining
 	}
+	if !f.EvacuationsKnown() {
+		x.retryAfter = noSlotsWait
+		return x, errNoEvacuations
+	}
 	t := f.table.Load()
 	if t == nil {
 		return x, errNoConfig
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -341,6 +341,7 @@
 		x.excludeUpstream(u, info.Instance)
 		return false
 	}
+	info.WarmupStated = info.Warmup > 0 || info.HasLoad && !info.NotRun && info.WarmupError == nil
 	if !info.HasLoad {
 		info.HasLoad, info.Load = true, placer.Report{Slowness: 1, At: time.Now()}
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -245,7 +245,7 @@
 		return false
 	}
 	c.Response.SetStatusCode(fasthttp.StatusNoContent)
-	if f.closed.Load() || f.options.Reach.Cut() || f.cutFrom(string(c.Request.Header.Peek(headerRelayQuery))) || f.table.Load() == nil {
+	if f.closed.Load() || !f.EvacuationsKnown() || f.options.Reach.Cut() || f.cutFrom(string(c.Request.Header.Peek(headerRelayQuery))) || f.table.Load() == nil {
 		c.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 	return true
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -51,7 +51,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), isLocal(o.err):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), errors.Is(o.err, errEvacuated), isLocal(o.err):
 		return placer.Abandoned
 	default:
 		return placer.Failed
@@ -72,6 +72,9 @@
 	case x.service.barred(cand.upstream):
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errBarred
+	case x.service.evacuates(cand.upstream):
+		x.forwarder.pool.Put(cand.conn)
+		o.err = errEvacuated
 	default:
 		x.attempted = append(x.attempted, cand.upstream)
 		x.roundTrip(cand, &o)
@@ -182,6 +185,7 @@
 	s := x.service
 	s.mu.Lock()
 	limitChanged := x.recordLimit(u, info, sentAt, source)
+	warmupChanged := source == sourceProbe && x.recordWarmup(u, info, sentAt)
 	if info.HasLoad {
 		s.fleet.RecordReport(u, info.Load)
 	}
@@ -192,6 +196,9 @@
 	if limitChanged {
 		s.updateLimitFractions(x.forwarder.options, time.Now())
 	}
+	if warmupChanged {
+		s.updateWarmupFractions(x.forwarder.options, time.Now(), []*placer.Upstream{u})
+	}
 }
 
 // writeRequest sends the request, addressed to the upstream.
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -33,6 +33,14 @@
 	Domain   string `json:"domain"`
 	Draining bool   `json:"leaving,omitempty"`
 	Ejected  bool   `json:"ejected,omitempty"`
+	// Evacuated is set while the failure domain of the upstream is evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
+	// WarmupLeft is how much longer the upstream is cold, WarmupFraction the fraction of the
+	// warm-up rate that this entry may use, and SentWhileCold the number of requests sent
+	// to it while it was cold last.
+	WarmupLeft     time.Duration `json:"warmup_left_ns,omitempty"`
+	WarmupFraction float64       `json:"warmup_part,omitempty"`
+	SentWhileCold  int64         `json:"sent_while_cold,omitempty"`
 	// Departure is what the upstream has told this entry or another of its departure,
 	// empty if nothing.
 	Departure string `json:"departure,omitempty"`
@@ -78,6 +86,10 @@
 			ID: spec.ID, Addr: spec.Addr, Domain: spec.Domain, Draining: spec.Draining, Ejected: u.Ejected(now), Load: loadOf(u, now),
 			PauseLeft: max(0, u.PauseEnd().Sub(now)), SentWhilePaused: u.SentWhilePaused(),
 		}
+		status.Evacuated, status.WarmupLeft, status.SentWhileCold = u.Evacuated(), s.fleet.WarmupLeft(now, u), u.SentWhileCold()
+		if status.WarmupLeft > 0 {
+			status.WarmupFraction = u.WarmupFraction()
+		}
 		if d := u.Departure(); d != placer.Staying {
 			status.Departure = d.String()
 		}
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -49,6 +49,7 @@
 	if u.limit.stated.Limited {
 		u.limit.take(now, f.randFloat())
 	}
+	f.takeWarmupToken(now, u)
 	u.process.pause.start(now)
 	return a
 }
@@ -166,13 +167,16 @@
 
 // eject ejects an upstream unless too few others are usable.
 func (f *Fleet) eject(now time.Time, u *Upstream) {
-	usable := 0
+	usable, all := 0, 0
 	for _, v := range f.upstreams {
+		if !v.evacuated {
+			all++
+		}
 		if v != u && v.Usable(now) {
 			usable++
 		}
 	}
-	if float64(usable) < minUsableFraction*float64(len(f.upstreams)) {
+	if float64(usable) < minUsableFraction*float64(all) {
 		return
 	}
 	u.ejectedUntil = now.Add(min(baseEjection<<min(u.consecutiveEjections, 3), maxEjection))
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -27,6 +27,11 @@
 	// saturated upstream, whose slots are nearly all taken. It is 0 before the
 	// first measurement.
 	saturationFactor float64
+	// evacuated holds the failure domains whose upstreams are not usable.
+	evacuated map[string]bool
+	// warmupRate and warmupTime are those of SetWarmup.
+	warmupRate float64
+	warmupTime time.Duration
 }
 
 // List returns the upstreams. The caller must not modify the slice.
@@ -53,6 +58,8 @@
 		f.upstreams = append(f.upstreams, u)
 	}
 	u.spec = s
+	u.evacuated = f.evacuated[s.Domain]
+	f.registerWarmup(now, u, s.Warmup)
 	u.warmUntil = now.Add(s.Warmup)
 }
 
@@ -69,11 +76,11 @@
 }
 
 // Slots returns the total number of slots of all usable upstreams that state no rate
-// limit.
+// limit and are not cold.
 func (f *Fleet) Slots(now time.Time) int {
 	n := 0
 	for _, u := range f.upstreams {
-		if u.Usable(now) && !u.limit.stated.Limited {
+		if u.Usable(now) && !u.limit.stated.Limited && !f.IsCold(now, u) {
 			n += u.Slots()
 		}
 	}
@@ -131,14 +138,17 @@
 	cost     float64
 }
 
-// rank returns the available upstreams that skip does not exclude, cheapest first.
+// rank returns the upstreams to probe before a request that skip does not exclude, cheapest first.
 func (f *Fleet) rank(now time.Time, skip func(*Upstream) bool) []candidate {
 	out := make([]candidate, 0, len(f.upstreams))
 	for _, u := range f.upstreams {
-		if !u.available(now) || skip != nil && skip(u) {
+		if !f.probeable(now, u) || skip != nil && skip(u) {
 			continue
 		}
 		c := f.effectiveCost(now, u) + tieBreakJitter*f.randFloat() + unansweredProbeCost*float64(u.unansweredProbes)
+		if !f.available(now, u) {
+			c += assumedColdCost
+		}
 		out = append(out, candidate{upstream: u, cost: c})
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
@@ -219,7 +229,7 @@
 func (f *Fleet) SelectUnprobed(now time.Time, skip func(*Upstream) bool) *Upstream {
 	slots, taken := 0, 0
 	for _, u := range f.upstreams {
-		if u.available(now) {
+		if f.available(now, u) {
 			slots, taken = slots+u.Slots(), taken+u.reportedLoad()
 		}
 	}
@@ -227,7 +237,7 @@
 		return nil
 	}
 	for _, c := range f.rank(now, skip) {
-		if u := c.upstream; u.reportedLoad()+1 < u.Slots() && u.slowness(now) <= maxTypicalSlowness {
+		if u := c.upstream; f.available(now, u) && u.reportedLoad()+1 < u.Slots() && u.slowness(now) <= maxTypicalSlowness && f.warmupConfirmed(now, u) {
 			return u
 		}
 	}
@@ -251,7 +261,7 @@
 func (f *Fleet) SelectFresh(now time.Time, waiting bool, skip func(*Upstream) bool) *Upstream {
 	var fresh []*Upstream
 	for _, u := range f.upstreams {
-		if !u.report.At.IsZero() && now.Sub(u.report.At) <= freshReportAge && (skip == nil || !skip(u)) {
+		if !u.report.At.IsZero() && now.Sub(u.report.At) <= freshReportAge && f.warmupConfirmed(now, u) && (skip == nil || !skip(u)) {
 			fresh = append(fresh, u)
 		}
 	}
@@ -303,7 +313,7 @@
 	var best *Upstream
 	lowest := 0.0
 	for _, u := range probed {
-		if !u.available(now) || !u.hasRoom(now) {
+		if !f.available(now, u) || !u.hasRoom(now) {
 			continue
 		}
 		c := f.effectiveCost(now, u)
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // RateLimit is the rate of requests that an upstream accepts from all entries
 // together, according to its responses.
@@ -195,15 +198,15 @@
 	return dst
 }
 
-// Withheld reports whether all usable upstreams state rate limits of which this entry
-// has no fraction, so that it can send requests to none of them.
+// Withheld reports whether all usable upstreams state rate limits, or are cold, and this entry
+// has no fraction of their rates, so that it can send requests to none of them.
 func (f *Fleet) Withheld(now time.Time) bool {
 	withheld := false
 	for _, u := range f.upstreams {
 		if !u.Usable(now) {
 			continue
 		}
-		if u.limit.fraction > 0 || u.limit.allows(now) {
+		if (u.limit.fraction > 0 || u.limit.allows(now)) && (!f.IsCold(now, u) || u.warmup.assumed || u.warmup.fraction > 0) {
 			return false
 		}
 		withheld = true
@@ -212,14 +215,23 @@
 }
 
 // LimitedSlots returns the number of slots that this entry can keep busy at the usable
-// upstreams that state a rate limit: by Little's law, its rate times the time that a
-// request takes.
+// upstreams that state a rate limit or are cold: by Little's law, its rate times the time that
+// a request takes.
 func (f *Fleet) LimitedSlots(now time.Time) float64 {
 	slots := 0.0
 	for _, u := range f.upstreams {
-		if u.limit.stated.Limited && u.Usable(now) {
-			slots += min(float64(u.Slots()), u.limit.rate()*f.avgLatency.Seconds())
+		limited, cold := u.limit.stated.Limited, f.IsCold(now, u)
+		if !limited && !cold || !u.Usable(now) {
+			continue
+		}
+		rate := math.Inf(1)
+		if limited {
+			rate = u.limit.rate()
+		}
+		if cold {
+			rate = min(rate, f.warmupPortion(u))
 		}
+		slots += min(float64(u.Slots()), rate*f.avgLatency.Seconds())
 	}
 	return slots
 }
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -83,7 +83,7 @@
 	var end time.Time
 	paused := false
 	for _, u := range f.upstreams {
-		if u.removed || u.spec.Draining || u.process.departure == Leaving {
+		if u.departed() || u.evacuated {
 			continue
 		}
 		if u.Usable(now) {
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -49,6 +49,9 @@
 	inFlightAtReport int
 	limit            limitState
 	process          processState
+	warmup           warmupState
+	// evacuated is set while the failure domain of the upstream is evacuated.
+	evacuated bool
 	// consecutiveFailures counts failed requests since the last success.
 	consecutiveFailures int
 	// failureRate is the moving average of failed requests as of failureRateAt.
@@ -107,12 +110,12 @@
 
 // Usable reports whether requests may be sent to the upstream, within its rate limit.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.removed && !u.spec.Draining && u.process.departure != Leaving && !u.Ejected(now) && !u.Paused(now)
+	return !u.departed() && !u.evacuated && !u.Ejected(now) && !u.Paused(now)
 }
 
 // available reports whether a request may be sent to the upstream now.
-func (u *Upstream) available(now time.Time) bool {
-	return u.Usable(now) && u.limit.allows(now) && u.process.pause.allows(now)
+func (f *Fleet) available(now time.Time, u *Upstream) bool {
+	return u.Usable(now) && u.limit.allows(now) && f.warmupAllows(now, u) && u.process.pause.allows(now)
 }
 
 const (
--- a/router/spec.go
+++ b/router/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -58,6 +59,10 @@
 	// MaxConns is the maximum number of connections that one upstream accepts from
 	// all entries together, or 0 if no limit is configured.
 	MaxConns int `json:"conns,omitempty"`
+	// WarmupTime is how long an upstream is cold after its start, and WarmupRate the requests
+	// per second from all entries together that a cold one tolerates, 0 if there is no limit.
+	WarmupTime time.Duration `json:"warmup,omitempty"`
+	WarmupRate float64       `json:"warmup_rate,omitempty"`
 }
 
 // Limits bounds the sizes and times of a caller's requests and connections. A
@@ -87,8 +92,13 @@
 		return err
 	}
 	for i, v := range s.Services {
-		if v.Name == "" {
-			return invalid(fmt.Sprintf("services[%d].name", i), "missing service name")
+		switch field := fmt.Sprintf("services[%d]", i); {
+		case v.Name == "":
+			return invalid(field+".name", "missing service name")
+		case v.WarmupTime < 0:
+			return invalid(field+".warmup", "got: %v want: 0 or above", v.WarmupTime)
+		case !(v.WarmupRate >= 0) || math.IsInf(v.WarmupRate, 1):
+			return invalid(field+".warmup_rate", "got: %v want: 0 or above", v.WarmupRate)
 		}
 	}
 	return nil
