runner, reporter: evacuations are applied and shared, cold upstreams reported

Cause: the decisions on evacuations and cold upstreams had no input.

Change: with gateway.evacuate an entry replicates the evacuations and applies them; before it has read them once, for at most 3 s, it is not ready and rejects requests. Status and metrics show evacuated domains and cold upstreams.

--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -232,6 +232,18 @@
 				o.ObserveFloat64(i, float64(paused), metric.WithAttributes(attribute.String("service", s.Name)))
 			}
 		}},
+		{"poplarwind.upstreams.cold", "Upstreams that are cold, of services with a warm-up rate, by service.", func(o metric.Observer, i metric.Float64Observable) {
+			for _, s := range g.sources.Forwarder.Status() {
+				cold := 0
+				for _, u := range s.Upstreams {
+					if u.WarmupLeft > 0 {
+						cold++
+					}
+				}
+				o.ObserveFloat64(i, float64(cold), metric.WithAttributes(attribute.String("service", s.Name)))
+			}
+		}},
+		{"poplarwind.domains.evacuated", "Failure domains to whose upstreams no requests are sent.", g.scalar(func() float64 { return float64(len(g.sources.Forwarder.Evacuated())) })},
 		{"poplarwind.quarantine.requests", "Requests in quarantine because upstreams crash when they run them.", g.scalar(func() float64 { return float64(g.quarantined()) })},
 		{"poplarwind.upstreams.cut", "1 while this entry is cut off from the upstreams of all services.", g.scalar(func() float64 {
 			if g.sources.Reach.Cut() {
@@ -321,8 +333,10 @@
 	// by kind of object.
 	Positions map[string]tracker.Position `json:"marks"`
 	Watches   bool                        `json:"watches"`
-	Members   []announcer.Status          `json:"members"`
-	Services  []forwarder.ServiceStatus   `json:"services"`
+	// Evacuated holds the failure domains to whose upstreams no requests are sent.
+	Evacuated []string                  `json:"evacuated,omitempty"`
+	Members   []announcer.Status        `json:"members"`
+	Services  []forwarder.ServiceStatus `json:"services"`
 	// Crashes holds the requests during which upstreams crashed.
 	Crashes    []quarantiner.Status `json:"crashes,omitempty"`
 	StoreCalls int64                `json:"calls"`
@@ -342,14 +356,16 @@
 	now := time.Now()
 	out := GatewayStatus{
 		Entry: s.Name, Build: versioner.Build(), Level: announcer.Level, Ready: s.Ready(), Cut: s.Reach.Cut(), Uptime: now.Sub(s.Start), Positions: make(map[string]tracker.Position),
-		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
+		Watches: tracker.RoleOf(s.Name, s.Table.Live(now)).Watch, Evacuated: s.Forwarder.Evacuated(), Members: s.Table.Members(now), Services: s.Forwarder.Status(), Crashes: s.Quarantine.Status(now),
 		StoreCalls: s.StoreCalls(), StoreEra: s.StoreEra(), Peers: s.Announcer.Traffic(), InFlight: s.Forwarder.InFlight(), Memory: s.Memory(), Connections: s.Connections(), Listeners: s.Listeners(),
 	}
 	if t := s.Forwarder.Table(); t != nil {
 		out.Version = t.Version()
 	}
 	for k := range tracker.Kinds {
-		out.Positions[k.String()] = s.State.Position(now, k)
+		if p := s.State.Position(now, k); k != tracker.Evacuations || p.AsOf > 0 {
+			out.Positions[k.String()] = p
+		}
 	}
 	return out
 }
--- a/runner/apply.go
+++ b/runner/apply.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"poplarwind/router"
 	"poplarwind/tracker"
 )
 
-// applyStoreChanges applies the configuration and the upstream list each time
-// the local state changes, and again when the next lease expires.
+// applyStoreChanges applies the evacuations, the configuration and the upstream list each
+// time the local state changes, and again when the next lease expires or the wait for the
+// evacuations ends.
 func (g *Gateway) applyStoreChanges(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := g.state.Changed()
+		evacuationsDue := g.applyEvacuations(time.Now())
 		g.applyConfig()
-		recheckAt := g.applyUpstreams()
+		recheckAt := earliest(g.applyUpstreams(), evacuationsDue)
 		var recheck <-chan time.Time
 		if !recheckAt.IsZero() {
 			recheck = time.After(time.Until(recheckAt))
@@ -28,6 +32,48 @@
 	return nil
 }
 
+// evacuationWait is how long an entry that starts waits for the evacuations. If neither the store nor
+// another entry has them by then, requests that are not served at all cost callers more than
+// those that reach an evacuated failure domain.
+const evacuationWait = 3 * time.Second
+
+// applyEvacuations applies the evacuations if they are known. While they are not, it returns the time
+// at which the entry serves without them, and the zero time otherwise.
+func (g *Gateway) applyEvacuations(now time.Time) time.Time {
+	if g.process.Gateway().EvacuationTime() == 0 {
+		return time.Time{}
+	}
+	if g.state.Position(now, tracker.Evacuations).AsOf == 0 {
+		due := g.start.Add(evacuationWait)
+		switch {
+		case g.forwarder.EvacuationsKnown():
+			return time.Time{}
+		case now.Before(due):
+			return due
+		}
+		g.log.Warn("evacuations are not known, requests are served without them", "waited_ms", now.Sub(g.start).Milliseconds())
+		g.forwarder.SetEvacuated(nil)
+		return time.Time{}
+	}
+	domains := make(map[string]bool)
+	for _, c := range g.state.All(tracker.Evacuations) {
+		domains[c.Name] = true
+	}
+	if names := slices.Sorted(maps.Keys(domains)); !g.forwarder.EvacuationsKnown() || !slices.Equal(names, g.forwarder.Evacuated()) {
+		g.log.Info("evacuations in force", "domains", names, "were", g.forwarder.Evacuated())
+		g.forwarder.SetEvacuated(domains)
+	}
+	return time.Time{}
+}
+
+// earliest returns the earlier of two times, of which a zero one counts as none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // applyConfig puts a configuration in force if its version is higher than that
 // of the one in force. An invalid configuration is logged and skipped.
 func (g *Gateway) applyConfig() {
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -133,6 +133,9 @@
 	if o.Bootstrap() {
 		g.tracker.SetInitialStart()
 	}
+	if limit := o.EvacuationTime(); limit > 0 {
+		g.tracker.Replicate(tracker.Evacuations, limit)
+	}
 	g.tracker.SetContacts(g.contacts, slices.Contains(p.Seeds(), p.Peers()))
 	quarantine := quarantiner.NewTable()
 	g.quarantiner = quarantiner.New(quarantiner.Options{
@@ -147,6 +150,10 @@
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Quota:       g.quotas.table, Quarantine: quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
+		WarmupFraction: func(u placer.Spec, rate float64) float64 {
+			return g.membership().warmupFraction(p.Name(), u, rate, time.Since(g.start))
+		},
+		AwaitEvacuations: o.EvacuationTime() > 0,
 	})
 	g.monitor = reacher.NewMonitor(reacher.Options{
 		Reach: g.reach, Peers: g.announcer, Self: p.Name(), Live: func() []announcer.Member { return g.table.Live(time.Now()) },
@@ -240,9 +247,9 @@
 }
 
 // ready reports whether this entry can serve requests: it is not draining, has a
-// configuration and has read the upstream list.
+// configuration, and has read the upstream list and the evacuations.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.forwarder.Table() != nil && g.state.Position(time.Now(), tracker.Upstreams).AsOf > 0
+	return !g.draining.Load() && g.forwarder.EvacuationsKnown() && g.forwarder.Table() != nil && g.state.Position(time.Now(), tracker.Upstreams).AsOf > 0
 }
 
 // serving reports whether callers are to use this entry: it is ready, and reaches upstreams
@@ -297,12 +304,15 @@
 // Run serves until ctx ends, then shuts down gracefully and returns. It returns an error as
 // soon as a task fails.
 func (g *Gateway) Run(ctx context.Context) error {
-	return g.run(
-		ctx,
+	tasks := []func(context.Context) error{
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Configs) },
 		func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Upstreams) },
 		g.tracker.Disseminate, g.announcer.Run, g.register, g.applyStoreChanges, g.trim, g.reportStatus, g.reportLimits, g.reportLeaving, g.exchangeQuotas, g.quarantiner.Run, g.monitor.Run,
-	)
+	}
+	if g.process.Gateway().EvacuationTime() > 0 {
+		tasks = append(tasks, func(ctx context.Context) error { return g.tracker.Follow(ctx, tracker.Evacuations) })
+	}
+	return g.run(ctx, tasks...)
 }
 
 // run implements Run for the given tasks.
