placer, runner: tests of evacuations and of domains that return cold

Cause: a new upstream got no request while others had free slots, seen in a cluster of 40 entries that were restarted: 18 of 18 cold upstreams had none in 4 s. An entry that gained a fraction of the rate also began without tokens.

Change: an entry with a fraction prefers a cold upstream to which it has sent nothing for 2 s, and begins with half a token. Scripts cover the fleet, and a cluster in virtual time returns a whole domain cold while entries are restarted without knowing each other, killed, frozen and cut off.

--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -129,6 +129,9 @@
 	if u.process.departure == ReportedLeaving {
 		c += leavingCost
 	}
+	if f.warmupTrialDue(now, u) {
+		c -= warmupTrialDiscount
+	}
 	return c
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -93,6 +93,34 @@
 			return "none"
 		}
 		return fmt.Sprint(int(left / (100 * time.Millisecond)))
+	case "evacuate": // evacuate domains...
+		domains := make(map[string]bool)
+		for _, d := range args[1:] {
+			domains[d] = true
+		}
+		return fmt.Sprint(f.SetEvacuated(p.now, domains))
+	case "allevacuated":
+		return fmt.Sprint(f.AllEvacuated())
+	case "warmup": // warmup rate milliseconds
+		f.SetWarmup(p.parseFloat(args[1]), time.Duration(p.parseFloat(args[2]))*time.Millisecond)
+	case "warmupleft": // warmupleft id milliseconds [age of the probe in milliseconds], a response to a load probe
+		sentAt := p.now
+		if len(args) > 3 {
+			sentAt = p.now.Add(-time.Duration(p.parseFloat(args[3])) * time.Millisecond)
+		}
+		return fmt.Sprint(f.RecordWarmup(p.now, u, time.Duration(p.parseFloat(args[2]))*time.Millisecond, sentAt))
+	case "peerwarmup": // peerwarmup id start milliseconds [age in milliseconds], a report of another entry
+		statedAt := p.now
+		if len(args) > 4 {
+			statedAt = p.now.Add(-time.Duration(p.parseFloat(args[4])) * time.Millisecond)
+		}
+		return fmt.Sprint(f.ApplyWarmupReport(p.now, args[1], int64(p.parseFloat(args[2])), time.Duration(p.parseFloat(args[3]))*time.Millisecond, statedAt) != nil)
+	case "warmupfraction": // warmupfraction id fraction
+		f.SetWarmupFraction(p.now, u, p.parseFloat(args[2]))
+	case "unreportedwarmups":
+		return joinIDs(f.TakeUnreportedWarmups(nil))
+	case "cold":
+		return joinIDs(f.Cold(nil, p.now))
 	case "withheld":
 		return fmt.Sprint(f.Withheld(p.now))
 	case "limitedslots":
--- a/placer/warmup.go
+++ b/placer/warmup.go
@@ -16,8 +16,9 @@
 	// number of requests that it may send as of tokensAt.
 	fraction, tokens float64
 	tokensAt         time.Time
-	// sent counts the requests sent while the upstream was cold.
-	sent int64
+	// sent counts the requests sent while the upstream was cold, the last of them at sentAt.
+	sent   int64
+	sentAt time.Time
 	// unreported is set if other entries are to be told of the statement.
 	unreported bool
 }
@@ -81,6 +82,7 @@
 	if f.IsCold(now, u) {
 		u.warmup.tokens, u.warmup.tokensAt = max(0, f.warmupTokens(now, u)-1), now
 		u.warmup.sent++
+		u.warmup.sentAt = now
 	}
 }
 
@@ -98,7 +100,7 @@
 	was := now.Before(w.until)
 	w.until, w.statedAt, w.assumed = now.Add(left), statedAt, false
 	if left > 0 && !was {
-		w.fraction, w.tokens, w.tokensAt, w.sent = 0, 0, now, 0
+		w.fraction, w.tokens, w.tokensAt, w.sent, w.sentAt = 0, initialWarmupTokens, now, 0, time.Time{}
 	}
 	return (left > 0) != was && f.warmupRate > 0
 }
@@ -188,10 +190,31 @@
 }
 
 // SetWarmupFraction sets the fraction of the warm-up rate of the upstream that this entry may use, in
-// [0, 1]. An entry that had no fraction starts without tokens: those that had one may
-// just have sent.
+// [0, 1]. Without a fraction tokens are kept and don't accumulate, so that an entry gains none
+// by losing its fraction and having it again.
 func (f *Fleet) SetWarmupFraction(now time.Time, u *Upstream, fraction float64) {
 	w := &u.warmup
-	w.tokens, w.tokensAt = f.warmupTokens(now, u), now
-	w.fraction = fraction
+	if w.fraction > 0 {
+		w.tokens = f.warmupTokens(now, u)
+	}
+	w.tokensAt, w.fraction = now, fraction
+}
+
+const (
+	// initialWarmupTokens is the number of tokens that an entry has when an upstream becomes
+	// cold. With a whole one, all entries that take themselves for owners would send at
+	// once; with none, an upstream that tolerates one request in two seconds would get
+	// the first one too late.
+	initialWarmupTokens = 0.5
+	// warmupTrialInterval is how often an entry with a fraction of the warm-up rate prefers a cold
+	// upstream to warm ones, and warmupTrialDiscount the cost that it then deducts, which
+	// is that of slow start. Without it a new upstream gets no request while others have
+	// free slots; it must get some within 4 s.
+	warmupTrialInterval = 2 * time.Second
+	warmupTrialDiscount = 2
+)
+
+// warmupTrialDue reports whether a request to the cold upstream is due.
+func (f *Fleet) warmupTrialDue(now time.Time, u *Upstream) bool {
+	return f.IsCold(now, u) && now.Sub(u.warmup.sentAt) >= warmupTrialInterval && f.warmupTokens(now, u) >= 1
 }
--- a/runner/cluster_test.go
+++ b/runner/cluster_test.go
@@ -44,6 +44,9 @@
 	info := forwarder.ResponseInfo{ID: h.Peek("Id"), Stamped: len(h.Peek("Id")) > 0, HasLoad: true, Load: placer.Report{Slots: 8, Slowness: 1, At: now}}
 	info.Leaving = len(h.Peek("Leaving")) > 0
 	info.NotRun = len(h.Peek("Not-Run")) > 0
+	if v := h.Peek("Warmup"); len(v) > 0 {
+		info.Warmup, info.WarmupError = time.ParseDuration(string(v))
+	}
 	if v := h.Peek("Pause"); len(v) > 0 {
 		info.Pause, info.PauseError = time.ParseDuration(string(v))
 	}
@@ -72,6 +75,8 @@
 	// first received a response that says so.
 	leaving     bool
 	toldLeaving map[string]time.Time
+	// warmups holds the times in which the upstream is cold, in order.
+	warmups []clusterWarmup
 	// down is set while the upstream does not run. Boot counts its starts.
 	down  bool
 	boot  int64
@@ -90,14 +95,16 @@
 	nodes    []*clusterNode
 	upstream map[string]*clusterUpstream
 	// second is the number of upstreams of the second service, named t.
-	second   int
-	conns    []net.Conn
-	served   int
-	failed   int
-	sent     int
-	ended    bool
-	crashing crashingRequests
-	store    clusterStore
+	second int
+	// strangers is set if entries that are added know only one other entry.
+	strangers bool
+	conns     []net.Conn
+	served    int
+	failed    int
+	sent      int
+	ended     bool
+	crashing  crashingRequests
+	store     clusterStore
 	// arrived counts the arrivals of each request at upstreams.
 	arrived map[string]int
 	// requestedAt holds when each request was sent by its caller, and repeatedAt when each
@@ -176,7 +183,7 @@
 	n.table = announcer.NewTable(now, announcer.Member{Name: n.name, Domain: n.domain, Callers: n.name, Epoch: now.UnixNano(), Capacity: 48}, clusterTimeout)
 	n.table.SetRemoteTimeout(remoteTimeoutFactor * clusterTimeout)
 	n.table.SetLoad(true, 0)
-	for _, other := range c.nodes {
+	for _, other := range c.known() {
 		self, _ := other.table.Self()
 		n.table.MergeDescriptions(now, false, self)
 	}
@@ -188,10 +195,13 @@
 			return n.membership().entrySet(n.name, service, time.Since(n.startedAt))
 		},
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return n.membership().limitFraction(n.name, u, rate) },
-		Quarantine:    quarantine,
-		Reach:         n.reach,
-		Relays:        func(service string) []string { return relays(n.name, n.membership().assignedAll(service)) },
-		Dial:          func(ctx context.Context, addr string) (net.Conn, error) { return c.dial(ctx, n, addr) },
+		WarmupFraction: func(u placer.Spec, rate float64) float64 {
+			return n.membership().warmupFraction(n.name, u, rate, time.Since(n.startedAt))
+		},
+		Quarantine: quarantine,
+		Reach:      n.reach,
+		Relays:     func(service string) []string { return relays(n.name, n.membership().assignedAll(service)) },
+		Dial:       func(ctx context.Context, addr string) (net.Conn, error) { return c.dial(ctx, n, addr) },
 	})
 	c.addMonitor(n)
 	n.forwarder.Configure(c.table)
@@ -294,6 +304,9 @@
 		if leaving := c.stateLeaving(n, u); leaving != "" {
 			limit += leaving
 		}
+		if probe {
+			limit += c.stateWarmup(u)
+		}
 		if !probe {
 			id = fmt.Sprintf("Id: %s\r\n", req.Header.Peek("Id"))
 		}
@@ -339,6 +352,9 @@
 		if reports := n.forwarder.TakeLimitReports(); len(reports) > 0 {
 			go c.deliver(n, reports, delay)
 		}
+		if reports := n.forwarder.TakeWarmupReports(); len(reports) > 0 {
+			go c.deliverWarmups(n, reports, delay)
+		}
 		if reports := n.forwarder.TakeLeavingReports(); len(reports) > 0 {
 			go c.deliverLeaving(n, reports, delay)
 		}
