--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -64,6 +64,9 @@
 	if v := h.Peek("Pause"); len(v) > 0 {
 		info.Pause, info.PauseError = time.ParseDuration(string(v))
 	}
+	if v := h.Peek("Warmup"); len(v) > 0 {
+		info.Warmup, info.WarmupError = time.ParseDuration(string(v))
+	}
 	if v := h.Peek("Load"); len(v) > 0 {
 		running, err := strconv.Atoi(string(v))
 		info.Load, info.HasLoad = placer.Report{Running: running, Slots: 3, Slowness: 1, At: now}, err == nil
@@ -143,8 +146,10 @@
 	// pausingProbes is set if upstreams reject load probes and ask for a pause, and
 	// leavingProbes if they say in load probes that they leave.
 	pausingProbes, leavingProbes bool
-	conns                        []net.Conn
-	closed                       bool
+	// warmups holds what upstreams say in load probes of how much longer they are cold.
+	warmups map[string]string
+	conns   []net.Conn
+	closed  bool
 }
 
 func (tb *testbed) nextFault() fault {
@@ -224,6 +229,9 @@
 		if tb.leavingProbes {
 			leaving = "Leaving: 1\r\n"
 		}
+		if v := tb.warmups[addr]; v != "" {
+			leaving += "Warmup: " + v + "\r\n"
+		}
 		tb.mu.Unlock()
 		if string(req.Header.RequestURI()) == "/health" {
 			if unresponsive {
--- a/runner/recorded_test.go
+++ b/runner/recorded_test.go
@@ -26,6 +26,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newIdleGatewayOf(t, p)
+}
+
+// newIdleGatewayOf returns a gateway of the settings that does not run.
+func newIdleGatewayOf(t testing.TB, p *parser.Process) *Gateway {
+	t.Helper()
 	g, err := NewGateway(p, slog.New(slog.DiscardHandler), func() int64 { return 0 })
 	if err != nil {
 		t.Fatal(err)
