placer, runner: entries that are cut off send nothing to cold upstreams

Cause: with 20 of 60 entries cut off from each other, each took itself for the only owner of a warm-up rate; up to 15 requests a second reached an upstream that tolerates 2.5, for a bound of 11. A registration that arrived after a response to a load probe made an upstream count as cold again, and a cold upstream ended a round of load probes early.

Change: an entry that sees fewer than half of the entries of the last minute has no fraction of a warm-up rate. Registrations that may be older than the last response to a load probe say nothing. A setting gateway.evacuate below the time in which a change is noticed is a warning, as for gateway.drain.

--- a/parser/gateway.go
+++ b/parser/gateway.go
@@ -37,21 +37,10 @@
 		checkRange(d, "gateway.cores", g.Cores, 0, 1024),
 		checkRange(d, "gateway.link", g.LinkMbps, 0, 1e6),
 		checkRange(d, "gateway.tolerance", g.QuotaTolerance, 0, 1e6),
-		checkEvacuationTime(d, g.EvacuationTime),
+		checkRange(d, "gateway.evacuate", g.EvacuationTime, 0, time.Hour),
 	)
 }
 
-// minEvacuationTime is the shortest time in which all entries learn of an evacuation although the
-// entry that watches the store has died.
-const minEvacuationTime = 2500 * time.Millisecond
-
-func checkEvacuationTime(d *document, t time.Duration) error {
-	if t == 0 {
-		return nil
-	}
-	return checkRange(d, "gateway.evacuate", t, minEvacuationTime, time.Hour)
-}
-
 // Gateway holds the settings of an entry that runs on the users' platform.
 type Gateway struct {
 	// spec has passed all range checks if the gateway is enabled.
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -284,7 +284,7 @@
 // better than u, whose report must be recent: it does not leave, works at its typical
 // speed, seldom fails, and is not saturated.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.Usable(now) && u.process.departure == Staying && u.slowness(now) <= maxTypicalSlowness && !u.saturated(now) && u.recentFailureRate(now) < maxTypicalFailureRate
+	return u.Usable(now) && f.warmupAllows(now, u) && u.process.departure == Staying && u.slowness(now) <= maxTypicalSlowness && !u.saturated(now) && u.recentFailureRate(now) < maxTypicalFailureRate
 }
 
 // LocalSuffices reports whether no upstream of another failure domain can be
--- a/placer/warmup.go
+++ b/placer/warmup.go
@@ -137,10 +137,19 @@
 	return u
 }
 
-// registerWarmup records the warm-up that the registration of an upstream states. One that states
-// none does not end a warm-up, as it may be older than what the upstream has said since.
+// registrationAge is the age that a registration may have when it arrives: it is written with the
+// heartbeats of the upstream, 2 s apart, and read within a second.
+const registrationAge = 3 * time.Second
+
+// registerWarmup records the warm-up that the registration of an upstream states, unless a load probe
+// was answered since it may have been written. One that states none does not end a warm-up
+// for the same reason.
 func (f *Fleet) registerWarmup(now time.Time, u *Upstream, left time.Duration) {
-	if left > 0 && now.Add(left).After(u.warmup.until) {
+	w := &u.warmup
+	if !w.assumed && now.Sub(w.statedAt) < registrationAge || now.Sub(w.confirmedAt) < registrationAge {
+		return
+	}
+	if left > 0 && now.Add(left).After(w.until) {
 		f.assumeWarmup(now, u, left)
 	}
 }
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -135,6 +135,9 @@
 	}
 	if limit := o.EvacuationTime(); limit > 0 {
 		g.tracker.Replicate(tracker.Evacuations, limit)
+		if d := tracker.DetectionTime(); d >= limit {
+			log.Warn("evacuations may be in force later than allowed", "evacuate_ms", limit.Milliseconds(), "detection_ms", d.Milliseconds())
+		}
 	}
 	g.tracker.SetContacts(g.contacts, slices.Contains(p.Seeds(), p.Peers()))
 	quarantine := quarantiner.NewTable()
--- a/runner/limit.go
+++ b/runner/limit.go
@@ -58,9 +58,10 @@
 
 // warmupFraction returns the fraction of the warm-up rate of a cold upstream that the entry named self,
 // which was started uptime ago, may use: equal fractions for the owners of the rate, and none for
-// other entries.
+// other entries. Entries that are cut off from the others have none either: each would take itself for
+// the only one.
 func (s *membership) warmupFraction(self string, u placer.Spec, rate float64, uptime time.Duration) float64 {
-	if uptime < warmupSettleTime {
+	if uptime < warmupSettleTime || s.isMinority() {
 		return 0
 	}
 	return s.limitFraction(self, u, warmupOwnerRatio*rate)
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -57,6 +57,10 @@
 	// probeFractions is this entry's fraction of all load probes of an upstream,
 	// by scope.
 	probeFractions [placer.Scopes]float64
+	// live is the number of live entries, and peak the most that were live in the last minorityTime,
+	// as of peakAt.
+	live, peak int
+	peakAt     time.Time
 
 	mu sync.Mutex
 	// assignments caches the entries that serve a service in a failure domain.
@@ -76,6 +80,10 @@
 	s := &membership{
 		at: now, byDomain: make(map[string][]announcer.Member), demand: make(map[string]float64),
 		assignments: make(map[assignmentKey][]announcer.Member),
+		live:        len(live), peak: len(live), peakAt: now,
+	}
+	if previous != nil && previous.peak > s.live && now.Sub(previous.peakAt) <= minorityTime {
+		s.peak, s.peakAt = previous.peak, previous.peakAt
 	}
 	for _, m := range live {
 		if m.Ready {
@@ -100,6 +108,15 @@
 	return s
 }
 
+// minorityTime is how long an entry that sees fewer than half of the others that it saw before counts
+// as cut off. Partitions that operators expect last seconds; if most entries were stopped
+// instead, this delays only requests to cold upstreams.
+const minorityTime = time.Minute
+
+// isMinority reports whether fewer than half of the entries are live that were lately. The entry is then
+// probably the one that is cut off from the others.
+func (s *membership) isMinority() bool { return 2*s.live < s.peak }
+
 // assigned returns the entries of a failure domain that serve a service. The
 // caller must not modify the slice.
 func (s *membership) assigned(service, domain string) []announcer.Member {
