runner: test of the reads that evacuations cost

Cause: that deployments without the setting make no further call to the store was not tested.

Change: the imitated store counts reads by kind; a test compares those of evacuations with and without the setting.

--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -98,6 +98,31 @@
 	}
 }
 
+// TestReadsOfEvacuations counts the reads of the store: entries without the setting must not read evacuations, and
+// the watch of those with it must cost less than half of the calls that the watch of another kind costs.
+func TestReadsOfEvacuations(t *testing.T) {
+	s := &evacuationEnv{limitEnv: &limitEnv{gatewayEnv: newGatewayEnv(t, time.Millisecond)}}
+	plain := s.start("e0", "1s")
+	time.Sleep(3 * time.Second)
+	if n := s.store.Reads("evacuations"); n > 0 {
+		t.Errorf("got: %d reads without the setting want: none", n)
+	}
+	plain.stop()
+	if err := <-plain.done; err != nil {
+		t.Error(err)
+	}
+	s.startEntry("e1")
+	s.startEntry("e2")
+	time.Sleep(3 * time.Second)
+	evacuations, servers := s.store.Reads("evacuations"), s.store.Reads("servers")
+	time.Sleep(7 * time.Second)
+	evacuations, servers = s.store.Reads("evacuations")-evacuations, s.store.Reads("servers")-servers
+	if evacuations == 0 || 2*evacuations > servers {
+		t.Errorf("got: %d reads of evacuations, %d of upstreams in 7 s want: at most half", evacuations, servers)
+	}
+	t.Logf("%d reads of evacuations, %d of upstreams in 7 s", evacuations, servers)
+}
+
 // evacuated reports whether the evacuation is in force at all entries.
 func (s *evacuationEnv) evacuated() bool {
 	for _, g := range s.entries {
