--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -51,7 +51,7 @@
 		return placer.Refused
 	case o.resp != nil && o.resp.StatusCode() < fasthttp.StatusInternalServerError:
 		return placer.Answered
-	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), errors.Is(o.err, errOverQuota), isLocal(o.err):
+	case o.disconnected, errors.Is(o.err, pooler.ErrConnLimit), errors.Is(o.err, errQuarantined), errors.Is(o.err, errBarred), errors.Is(o.err, errOverQuota), errors.Is(o.err, errEvacuated), isLocal(o.err):
 		return placer.Abandoned
 	default:
 		return placer.Failed
@@ -75,6 +75,9 @@
 	case x.service.barred(cand.upstream):
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errBarred
+	case x.service.evacuates(cand.upstream):
+		x.forwarder.pool.Put(cand.conn)
+		o.err = errEvacuated
 	case x.lateForQuota():
 		x.forwarder.pool.Put(cand.conn)
 		o.err = errOverQuota
@@ -188,6 +191,7 @@
 	s := x.service
 	s.mu.Lock()
 	limitChanged := x.recordLimit(u, info, sentAt, source)
+	warmupChanged := source == sourceProbe && x.recordWarmup(u, info, sentAt)
 	if info.HasLoad {
 		s.fleet.RecordReport(u, info.Load)
 	}
@@ -198,6 +202,9 @@
 	if limitChanged {
 		s.updateLimitFractions(x.forwarder.options, time.Now())
 	}
+	if warmupChanged {
+		s.updateWarmupFractions(x.forwarder.options, time.Now(), []*placer.Upstream{u})
+	}
 }
 
 // writeRequest sends the request, addressed to the upstream.
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -27,6 +27,11 @@
 	// saturated upstream, whose slots are nearly all taken. It is 0 before the
 	// first measurement.
 	saturationFactor float64
+	// evacuated holds the failure domains whose upstreams are not usable.
+	evacuated map[string]bool
+	// warmupRate and warmupTime are those of SetWarmup.
+	warmupRate float64
+	warmupTime time.Duration
 }
 
 // List returns the upstreams. The caller must not modify the slice.
@@ -53,6 +58,8 @@
 		f.upstreams = append(f.upstreams, u)
 	}
 	u.spec = s
+	u.evacuated = f.evacuated[s.Domain]
+	f.registerWarmup(now, u, s.Warmup)
 	u.warmUntil = now.Add(s.Warmup)
 }
 
@@ -69,11 +76,11 @@
 }
 
 // Slots returns the total number of slots of all usable upstreams that state no rate
-// limit.
+// limit and are not cold.
 func (f *Fleet) Slots(now time.Time) int {
 	n := 0
 	for _, u := range f.upstreams {
-		if u.Usable(now) && !u.limit.stated.Limited {
+		if u.Usable(now) && !u.limit.stated.Limited && !f.IsCold(now, u) {
 			n += u.Slots()
 		}
 	}
@@ -122,6 +129,9 @@
 	if u.process.departure == ReportedLeaving {
 		c += leavingCost
 	}
+	if f.warmupTrialDue(now, u) {
+		c -= warmupTrialDiscount
+	}
 	return c
 }
 
@@ -131,14 +141,17 @@
 	cost     float64
 }
 
-// rank returns the available upstreams that skip does not exclude, cheapest first.
+// rank returns the upstreams to probe before a request that skip does not exclude, cheapest first.
 func (f *Fleet) rank(now time.Time, skip func(*Upstream) bool) []candidate {
 	out := make([]candidate, 0, len(f.upstreams))
 	for _, u := range f.upstreams {
-		if !u.available(now) || skip != nil && skip(u) {
+		if !f.probeable(now, u) || skip != nil && skip(u) {
 			continue
 		}
 		c := f.effectiveCost(now, u) + tieBreakJitter*f.randFloat() + unansweredProbeCost*float64(u.unansweredProbes)
+		if !f.available(now, u) {
+			c += assumedColdCost
+		}
 		out = append(out, candidate{upstream: u, cost: c})
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
@@ -219,7 +232,7 @@
 func (f *Fleet) SelectUnprobed(now time.Time, skip func(*Upstream) bool) *Upstream {
 	slots, taken := 0, 0
 	for _, u := range f.upstreams {
-		if u.available(now) {
+		if f.available(now, u) {
 			slots, taken = slots+u.Slots(), taken+u.reportedLoad()
 		}
 	}
@@ -227,7 +240,7 @@
 		return nil
 	}
 	for _, c := range f.rank(now, skip) {
-		if u := c.upstream; u.reportedLoad()+1 < u.Slots() && u.slowness(now) <= maxTypicalSlowness {
+		if u := c.upstream; f.available(now, u) && u.reportedLoad()+1 < u.Slots() && u.slowness(now) <= maxTypicalSlowness && f.warmupConfirmed(now, u) {
 			return u
 		}
 	}
@@ -251,7 +264,7 @@
 func (f *Fleet) SelectFresh(now time.Time, waiting bool, skip func(*Upstream) bool) *Upstream {
 	var fresh []*Upstream
 	for _, u := range f.upstreams {
-		if !u.report.At.IsZero() && now.Sub(u.report.At) <= freshReportAge && (skip == nil || !skip(u)) {
+		if !u.report.At.IsZero() && now.Sub(u.report.At) <= freshReportAge && f.warmupConfirmed(now, u) && (skip == nil || !skip(u)) {
 			fresh = append(fresh, u)
 		}
 	}
@@ -271,7 +284,7 @@
 // better than u, whose report must be recent: it does not leave, works at its typical
 // speed, seldom fails, and is not saturated.
 func (f *Fleet) Ideal(now time.Time, u *Upstream) bool {
-	return u.Usable(now) && u.process.departure == Staying && u.slowness(now) <= maxTypicalSlowness && !u.saturated(now) && u.recentFailureRate(now) < maxTypicalFailureRate
+	return u.Usable(now) && f.warmupAllows(now, u) && u.process.departure == Staying && u.slowness(now) <= maxTypicalSlowness && !u.saturated(now) && u.recentFailureRate(now) < maxTypicalFailureRate
 }
 
 // LocalSuffices reports whether no upstream of another failure domain can be
@@ -303,7 +316,7 @@
 	var best *Upstream
 	lowest := 0.0
 	for _, u := range probed {
-		if !u.available(now) || !u.hasRoom(now) {
+		if !f.available(now, u) || !u.hasRoom(now) {
 			continue
 		}
 		c := f.effectiveCost(now, u)
