placer: response times, and the upstream for a second attempt

Cause: nothing in placer says how long the slow requests of a route take, or which upstream has time to spare for a second attempt of one.

Change: ResponseTimes is a fixed histogram of the last few hundred responses, 256 bytes, without allocation. SelectHedge selects an upstream that has just reported that it is free and of typical speed, and that is not rate-limited, paused, cold or leaving. TakenFraction says how busy a service is by the reports of the last 2 s. Nothing uses them yet.

Measured: scripts hedge.txt, taken.txt and response_times.txt pass.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -17,6 +17,7 @@
 	fleet       Fleet
 	now         time.Time
 	serviceTime ServiceTime
+	times       ResponseTimes
 	// running holds the attempts at each upstream in the order of their start.
 	running map[string][]*Attempt
 }
@@ -102,6 +103,25 @@
 	case "probe": // probe local|remote n
 		scope := map[string]Scope{"local": ScopeLocal, "remote": ScopeRemote}[args[1]]
 		return joinIDs(f.SelectProbes(nil, p.now, int(p.parseFloat(args[2])), scope, nil))
+	case "hedge": // hedge ids...
+		var list []*Upstream
+		for _, id := range args[1:] {
+			list = append(list, f.Find(id))
+		}
+		if u := f.SelectHedge(p.now, list); u != nil {
+			return u.ID()
+		}
+		return "none"
+	case "taken":
+		return fmt.Sprintf("%.2f", f.TakenFraction(p.now))
+	case "respond": // respond count milliseconds
+		for range int(p.parseFloat(args[1])) {
+			p.times.Record(time.Duration(p.parseFloat(args[2])) * time.Millisecond)
+		}
+	case "quantile": // quantile q, in milliseconds
+		return fmt.Sprint(p.times.Quantile(p.parseFloat(args[1])).Milliseconds())
+	case "tail": // tail milliseconds
+		return fmt.Sprint(p.times.TailMedian(time.Duration(p.parseFloat(args[1])) * time.Millisecond).Milliseconds())
 	case "best": // best ids...
 		var list []*Upstream
 		for _, id := range args[1:] {
