forwarder: hedges of idempotent requests

Cause: an upstream that becomes slow or hangs after a request was placed on it delays the request up to three times its expected duration before it is sent elsewhere, and what the first upstream has done is thrown away.

Change: with Options.Hedge above 0, an idempotent request without a first byte after the 95th percentile of its route's response times is sent to a second upstream, which a fresh load probe shows to be free. The first complete response wins, the other attempt is cancelled and its connection closed. Hedges are bounded by the fraction, the route's attempts and the retry budget, and are not sent while requests wait or most slots are taken. The decision is pure and replayed from scripts. Without the option the path of a request is as before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -91,6 +91,8 @@
 	// print is the fingerprint of the request, valid if hasPrint is set.
 	print    quarantiner.Fingerprint
 	hasPrint bool
+	// hedged describes the hedge of the request, nil if there was none.
+	hedged *HedgeRecord
 	// fallback is an upstream's error response, returned if no better one
 	// arrives.
 	fallback *fasthttp.Response
@@ -184,15 +186,7 @@
 // recordAttempt records an attempt without a final response. It returns an
 // error if there must not be another attempt.
 func (x *exchange) recordAttempt(o outcome) error {
-	switch {
-	case o.resp != nil && !o.notRun:
-		x.releaseFallback()
-		x.fallback, x.mayHaveRun = o.resp, true
-	case o.resp != nil:
-		fasthttp.ReleaseResponse(o.resp)
-	case o.sent:
-		x.mayHaveRun = true
-	}
+	x.keep(o)
 	if x.mayHaveRun && !x.route.Idempotent {
 		return errIncomplete
 	}
@@ -219,6 +213,20 @@
 	return nil
 }
 
+// keep records what an attempt without a final response says of the request, and keeps an error
+// response as the fallback.
+func (x *exchange) keep(o outcome) {
+	switch {
+	case o.resp != nil && !o.notRun:
+		x.releaseFallback()
+		x.fallback, x.mayHaveRun = o.resp, true
+	case o.resp != nil:
+		fasthttp.ReleaseResponse(o.resp)
+	case o.sent:
+		x.mayHaveRun = true
+	}
+}
+
 // fail returns the fallback response if there is one, and the error otherwise.
 func (x *exchange) fail(err error) result {
 	if x.fallback != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"poplarwind/apportioner"
 	"poplarwind/bufferer"
 	"poplarwind/pipeliner"
@@ -61,6 +63,9 @@
 	Domain string
 	// RetryBudget is the retry budget of all entries together.
 	RetryBudget RetryBudget
+	// Hedge is the maximum fraction of the idempotent requests for a service that are sent
+	// to a second upstream while the first one may still respond. 0 means none.
+	Hedge float64
 	// ProbeRate is the maximum rate of load probes to one upstream, per second
 	// and over all entries. 0 means 10.
 	ProbeRate float64
@@ -127,6 +132,8 @@
 	closed atomic.Bool
 	// end is when the entry stops, nil if no stop is planned.
 	end atomic.Pointer[time.Time]
+	// hedgeLines limits the log lines about hedges.
+	hedgeLines *rate.Limiter
 
 	mu sync.Mutex
 	// services holds each service that has an upstream, or had one or a routed
@@ -162,7 +169,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	f := &Forwarder{options: o, services: make(map[string]*service)}
+	f := &Forwarder{options: o, services: make(map[string]*service), hedgeLines: newHedgeLimiter()}
 	f.entries = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: o.Dial, Budget: o.Budget}
 	f.pool = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: f.dialUpstream, Budget: o.Budget}
 	return f
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -168,7 +168,7 @@
 		upstreams := x.service.fleet.SelectProbes(nil, time.Now(), parallelProbes, scope, x.tried)
 		x.service.mu.Unlock()
 		if probes += len(upstreams); len(upstreams) > 0 {
-			candidates = x.collect(r, upstreams, candidates)
+			candidates = x.collect(nil, r, upstreams, candidates)
 		}
 		if picked = x.startBest(candidates, scope == placer.ScopeRemote); picked.attempt != nil {
 			break
@@ -199,8 +199,8 @@
 // collect probes the upstreams concurrently and appends the results to
 // candidates, including late results of earlier probes in the round. It
 // returns when a candidate is ideal, when there are as many results as
-// upstreams, or on a timeout.
-func (x *exchange) collect(r *probeRound, upstreams []*placer.Upstream, candidates []candidate) []candidate {
+// upstreams, on a timeout, or when done, which may be nil, is closed.
+func (x *exchange) collect(done <-chan struct{}, r *probeRound, upstreams []*placer.Upstream, candidates []candidate) []candidate {
 	r.mu.Lock()
 	r.sent += len(upstreams)
 	r.mu.Unlock()
@@ -228,6 +228,8 @@
 			}
 		case <-timer.C:
 			return candidates
+		case <-done:
+			return candidates
 		}
 	}
 	return candidates
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -267,7 +267,7 @@
 	x.relayedTo = append(x.relayedTo, c.Addr())
 	c.Reset()
 	c.SetDeadline(x.deadline)
-	stop := x.abortOnDisconnect(c)
+	stop := x.abortOnEnd(x.caller, c)
 	if o.err = x.writeRelayed(c); o.err == nil {
 		o.resp, o.err = x.readRelayed(c)
 	}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -102,6 +102,8 @@
 	// which the request is beyond its quota, nil if it is not.
 	Customer string
 	Quota    *apportioner.Decision
+	// Hedge describes the hedge of the request, nil if there was none.
+	Hedge *HedgeRecord
 	// RelayedTo are the addresses of the entries that the request was relayed to.
 	RelayedTo []string
 	// Fingerprint identifies the copies of a request in quarantine, empty for others.
@@ -151,7 +153,7 @@
 	if x.service == nil {
 		return r
 	}
-	r.Service, r.RelayedTo = x.service.name, x.relayedTo
+	r.Service, r.RelayedTo, r.Hedge = x.service.name, x.relayedTo, x.hedged
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
 	for _, u := range x.attempted {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -25,7 +25,7 @@
 	// notRun reports whether the response proves that the request did not run.
 	notRun bool
 	// disconnected reports whether the attempt was aborted because the caller
-	// disconnected.
+	// disconnected or another attempt won.
 	disconnected bool
 	// overdue reports whether the attempt was aborted because its response was
 	// overdue. A retry has been taken from the budget for this.
@@ -74,6 +74,9 @@
 		o.err = errBarred
 	default:
 		x.attempted = append(x.attempted, cand.upstream)
+		if x.mayHedge() {
+			return x.sendHedged(cand)
+		}
 		x.roundTrip(cand, &o)
 	}
 	x.service.finishAttempt(cand.attempt, o.result(), x.serviceTime)
@@ -83,14 +86,28 @@
 // roundTrip sends the request and reads the response, then returns the
 // connection to the pool or discards it.
 func (x *exchange) roundTrip(cand candidate, o *outcome) {
-	f, c, u := x.forwarder, cand.conn, cand.upstream
-	c.Reset()
-	c.SetDeadline(x.deadline)
-	stop := x.abortOnDisconnect(c)
-	o.err = x.writeRequest(c, u)
-	if o.err == nil && x.overdue(c, cand.attempt) {
+	stop := x.begin(x.caller, cand, o)
+	if o.err == nil && x.overdue(cand.conn, cand.attempt) {
 		o.overdue, o.err = true, errOverdue
 	}
+	x.complete(cand, o, stop)
+}
+
+// begin sends the request. The attempt is aborted when ctx ends, until the function that begin
+// returns is called, which reports false if it was.
+func (x *exchange) begin(ctx context.Context, cand candidate, o *outcome) func() bool {
+	c := cand.conn
+	c.Reset()
+	c.SetDeadline(x.deadline)
+	stop := x.abortOnEnd(ctx, c)
+	o.err = x.writeRequest(c, cand.upstream)
+	return stop
+}
+
+// complete reads the response, unless the attempt has failed, then returns the connection to the
+// pool or discards it.
+func (x *exchange) complete(cand candidate, o *outcome, stop func() bool) {
+	f, c, u := x.forwarder, cand.conn, cand.upstream
 	if o.err == nil {
 		o.resp, o.err = x.readResponse(c, u)
 	}
@@ -264,15 +281,15 @@
 	return len(info.ID) > 0 && (!success || info.Stamped) && len(resp.Header.Peek("Content-Encoding")) == 0
 }
 
-// abortOnDisconnect aborts the attempt when the caller disconnects. A
-// non-idempotent request continues, because its caller may obtain the outcome by
-// other means. The function that it returns ends this and reports false if the
-// caller disconnected.
-func (x *exchange) abortOnDisconnect(c *pooler.Conn) func() bool {
+// abortOnEnd aborts the attempt when ctx ends: the caller has disconnected, or
+// another attempt has won. A non-idempotent request continues, because its caller may
+// obtain the outcome by other means. The function that it returns ends this and
+// reports false if ctx ended.
+func (x *exchange) abortOnEnd(ctx context.Context, c *pooler.Conn) func() bool {
 	if !x.route.Idempotent {
 		return func() bool { return true }
 	}
-	return context.AfterFunc(x.caller, c.Abort)
+	return context.AfterFunc(ctx, c.Abort)
 }
 
 // keepAliveMargin is subtracted from the time for which an upstream keeps idle
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -31,6 +31,7 @@
 	// over the window of the retry budget.
 	equalFraction limiter.SlidingMinimum
 	queue         limiter.Queue[*exchange]
+	hedges        hedgeState
 	// serviceTimes holds the average service time at this entry, by route.
 	serviceTimes map[string]*placer.ServiceTime
 	// placing counts dequeued requests that are being placed.
@@ -81,11 +82,12 @@
 	return s.fleet.Empty(now) && s.queue.Len() == 0 && s.placing == 0 && !s.dispatchScheduled && len(s.lost) == 0
 }
 
-// trimRoutes removes the service times of routes that are not in the set of names.
+// trimRoutes removes the service times and response times of routes that are not in the set of names.
 func (s *service) trimRoutes(names map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.serviceTimes, func(name string, _ *placer.ServiceTime) bool { return !names[name] })
+	maps.DeleteFunc(s.hedges.times, func(name string, _ *placer.ResponseTimes) bool { return !names[name] })
 }
 
 // serviceTime returns the average service time of a route at this entry. The
--- a/forwarder/status.go
+++ b/forwarder/status.go
@@ -21,9 +21,11 @@
 	AverageLatency  time.Duration `json:"usual_ns"`
 	// Retries is the number of retries taken from the budget, and RetriesDenied the
 	// number of those for which nothing was left.
-	Retries       int64            `json:"retries,omitempty"`
-	RetriesDenied int64            `json:"retries_denied,omitempty"`
-	Upstreams     []UpstreamStatus `json:"upstreams"`
+	Retries       int64 `json:"retries,omitempty"`
+	RetriesDenied int64 `json:"retries_denied,omitempty"`
+	// Hedges counts the hedges, nil if none was sent or denied.
+	Hedges    *HedgeStatus     `json:"hedges,omitempty"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
 }
 
 // UpstreamStatus is the state of one upstream as seen by an entry.
@@ -68,7 +70,7 @@
 func (s *service) status(now time.Time) ServiceStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := ServiceStatus{Name: s.name, Cut: s.reach.Cut(), Waiting: s.queue.Len(), AssignedEntries: s.assignedEntries, AverageLatency: s.fleet.AverageLatency(), Retries: s.retries, RetriesDenied: s.retriesDenied}
+	out := ServiceStatus{Name: s.name, Cut: s.reach.Cut(), Waiting: s.queue.Len(), AssignedEntries: s.assignedEntries, AverageLatency: s.fleet.AverageLatency(), Retries: s.retries, RetriesDenied: s.retriesDenied, Hedges: s.hedges.status()}
 	for _, u := range s.fleet.List() {
 		if u.Usable(now) {
 			out.Usable++
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -116,6 +116,11 @@
 	leaves fault = "says that it leaves"
 )
 
+// lateBy is the fault of an upstream that responds after the time, and failingAfter that of one that
+// fails then.
+func lateBy(d time.Duration) fault       { return fault("late " + d.String()) }
+func failingAfter(d time.Duration) fault { return fault("failing " + d.String()) }
+
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, failedBusy, failedLimit, shed, misdirected,
 	truncated, noLength, garbage, zeroStatus, blankInName, emptyLine, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
@@ -136,6 +141,8 @@
 	load map[string]int
 	// work is how long each upstream takes for a request without a fault.
 	work time.Duration
+	// workOf returns how long any upstream takes for a request, if it is not nil.
+	workOf func(id string) time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
@@ -333,7 +340,18 @@
 		complete("Connection: close\r\n")
 		return false
 	}
-	time.Sleep(tb.work)
+	work := tb.work
+	if tb.workOf != nil {
+		work = tb.workOf(id)
+	}
+	if kind, after, ok := strings.Cut(string(f), " "); ok && (kind == "late" || kind == "failing") {
+		work, _ = time.ParseDuration(after)
+		if kind == "failing" {
+			time.Sleep(work)
+			return write("HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	}
+	time.Sleep(work)
 	return complete("")
 }
 
--- a/limiter/retry_budget.go
+++ b/limiter/retry_budget.go
@@ -62,3 +62,20 @@
 	b.retries = append(b.retries, now)
 	return true
 }
+
+// Ready reports whether Spend would succeed.
+func (b *RetryBudget) Ready(now time.Time) bool {
+	if b.window <= 0 {
+		return false
+	}
+	if b.earned >= 1 {
+		return true
+	}
+	used := 0
+	for _, at := range b.retries {
+		if now.Sub(at) < b.window {
+			used++
+		}
+	}
+	return float64(used+1) <= b.allowance
+}
