--- a/parser/gateway.go
+++ b/parser/gateway.go
@@ -8,6 +8,7 @@
 	ReadyAddr            string        `json:"ready"`
 	ShutdownTimeout      time.Duration `json:"grace"`
 	ProbeRate            float64       `json:"probes"`
+	HedgeRatio           float64       `json:"hedge"`
 	RetryRatio           float64       `json:"share"`
 	RetryAllowance       float64       `json:"extra"`
 	RetryWindow          time.Duration `json:"window"`
@@ -28,6 +29,7 @@
 		d.checkAddress("gateway.ready", g.ReadyAddr),
 		checkRange(d, "gateway.grace", g.ShutdownTimeout, 500*time.Millisecond, 10*time.Minute),
 		checkRange(d, "gateway.probes", g.ProbeRate, 0, 10000),
+		checkRange(d, "gateway.hedge", g.HedgeRatio, 0, 0.5),
 		checkRange(d, "gateway.share", g.RetryRatio, 0, 1),
 		checkRange(d, "gateway.extra", g.RetryAllowance, 0, 1e6),
 		checkRange(d, "gateway.window", g.RetryWindow, 100*time.Millisecond, time.Hour),
@@ -66,6 +68,10 @@
 // all entries.
 func (g Gateway) ProbeRate() float64 { return g.spec.ProbeRate }
 
+// HedgeRatio returns the maximum fraction of the idempotent requests that may be sent to a second
+// upstream while the first one may still respond, 0 if none.
+func (g Gateway) HedgeRatio() float64 { return g.spec.HedgeRatio }
+
 // RetryBudget returns the retry budget over all entries: retries within window may
 // amount to the given fraction of the requests, plus extra.
 func (g Gateway) RetryBudget() (fraction, extra float64, window time.Duration) {
--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -111,6 +111,16 @@
 	}{
 		{"poplarwind.retries", "Requests sent to a further upstream, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return s.Retries })},
 		{"poplarwind.retries.denied", "Requests not sent to a further upstream for want of retry budget, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return s.RetriesDenied })},
+		{"poplarwind.hedges.sent", "Requests sent to a second upstream while the first one could still respond, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return hedgesOf(s).Sent })},
+		{"poplarwind.hedges.won", "Hedges whose response was returned, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return hedgesOf(s).Won })},
+		{"poplarwind.hedges.cancelled", "Attempts cancelled because another one of the same request had won, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 { return hedgesOf(s).Cancelled })},
+		{"poplarwind.hedges.denied", "Slow requests that were not hedged, by service and cause.", func(o metric.Observer, i metric.Int64Observable) {
+			for _, s := range g.sources.Forwarder.Status() {
+				for cause, n := range hedgesOf(&s).Denied {
+					o.ObserveInt64(i, n, metric.WithAttributes(attribute.String("service", s.Name), attribute.String("cause", cause)))
+				}
+			}
+		}},
 		{"poplarwind.upstreams.sent_in_pauses", "Requests sent to upstreams during pauses that these asked for, by service.", g.perService(func(s *forwarder.ServiceStatus) int64 {
 			var n int64
 			for _, u := range s.Upstreams {
@@ -156,6 +166,14 @@
 	}
 }
 
+// hedgesOf returns the counts of hedges of a service.
+func hedgesOf(s *forwarder.ServiceStatus) forwarder.HedgeStatus {
+	if s.Hedges == nil {
+		return forwarder.HedgeStatus{}
+	}
+	return *s.Hedges
+}
+
 // counter returns a callback that observes one count without attributes.
 func (g *Gateway) counter(read func() int64) func(metric.Observer, metric.Int64Observable) {
 	return func(o metric.Observer, i metric.Int64Observable) { o.ObserveInt64(i, read()) }
--- a/reporter/requestlog.go
+++ b/reporter/requestlog.go
@@ -61,6 +61,9 @@
 	if d := v.Quota; d != nil {
 		attrs = append(attrs, slog.Group("quota", "level", round(d.Level), "portion", round(d.Portion), "fraction", round(d.Fraction), "demand", round(d.Demand), "total", round(d.Total), "isolated", d.Isolated))
 	}
+	if h := v.Hedge; h != nil {
+		attrs = append(attrs, slog.Group("hedge", "first", h.First, "second", h.Second, "delay_ms", h.Delay.Milliseconds(), "first_expected_ms", h.FirstExpected.Milliseconds(), "second_expected_ms", h.SecondExpected.Milliseconds(), "outcome", h.Outcome))
+	}
 	if len(v.RelayedTo) > 0 {
 		attrs = append(attrs, "relayed_to", v.RelayedTo)
 	}
