pooler: an aborted exchange does not wait for memory

Cause: Abort cancels the body that is being received. If it was called between the head of a response and its body, it found none, and Receive waited up to a second for memory. A cancelled attempt of a hedged request would delay the response of the other one by that.

Change: Receive cancels the body itself if Abort was called before.

Measured: TestAbortBeforeBody took 1 s of virtual time before, and none now.

--- a/pooler/conn.go
+++ b/pooler/conn.go
@@ -53,6 +53,8 @@
 	// if there is none.
 	budget *bufferer.Budget
 	body   atomic.Pointer[bufferer.Body]
+	// aborted is set once Abort was called. The connection is not used again then.
+	aborted atomic.Bool
 	// deadline is the deadline of the exchange, the zero time meaning none.
 	deadline time.Time
 	// written counts the bytes that the kernel accepted in this exchange.
@@ -100,6 +102,7 @@
 
 // Abort makes the exchange in progress fail at once.
 func (c *Conn) Abort() {
+	c.aborted.Store(true)
 	c.interrupt()
 	if b := c.body.Load(); b != nil {
 		b.Cancel(ErrTruncated)
@@ -199,6 +202,10 @@
 	b.SetDeadline(c.deadline)
 	c.body.Store(b)
 	defer c.body.Store(nil)
+	if c.aborted.Load() {
+		// Abort may have found no body to cancel.
+		b.Cancel(ErrTruncated)
+	}
 	err := c.readBody(resp, b, n, maxBody)
 	if err == nil {
 		err = b.Complete()
