forwarder: probes for a hedge use a copy of the request's ID

Cause: the ID is valid until the response is written. A load probe for a hedge is broken off when the first attempt responds, and may log the ID later.

Change: these probes belong to an exchange of their own, with a copy.

Measured: tests of hedges pass with -race.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -246,8 +247,11 @@
 // the best of them that is free, unless the first one ends meanwhile. It returns the expected
 // duration of the attempt.
 func (x *exchange) pickHedge(first *contender) (picked candidate, expected time.Duration, verdict hedgeVerdict) {
-	r := &probeRound{pool: x.forwarder.pool, results: make(chan candidate, 2*hedgeProbes), onFailure: x.recordProbeFailure}
 	s := x.service
+	// A probe that is broken off when the first attempt ends may outlast the request, whose ID is
+	// not valid then.
+	prober := &exchange{forwarder: x.forwarder, service: s, healthURI: x.healthURI, maxConns: x.maxConns, id: bytes.Clone(x.id)}
+	r := &probeRound{pool: x.forwarder.pool, results: make(chan candidate, 2*hedgeProbes), onFailure: prober.recordProbeFailure}
 	var candidates []candidate
 	verdict = deniedUpstream
 	for _, scope := range []placer.Scope{placer.ScopeLocal, placer.ScopeRemote} {
@@ -257,7 +261,7 @@
 		upstreams := s.fleet.SelectProbes(nil, now, hedgeProbes, scope, skip)
 		s.mu.Unlock()
 		if len(upstreams) > 0 {
-			candidates = x.collect(first.done, r, upstreams, candidates)
+			candidates = prober.collect(first.done, r, upstreams, candidates)
 		}
 		if first.ended() {
 			verdict = hedgeAllowed
