forwarder: a hedge comes no later than a request would be given up

Change: the delay is at most three times the expected duration, after which an attempt is given up without hedging. Tests check that the delay does not fall either, and that log lines are bounded.

--- a/forwarder/hedge_policy.go
+++ b/forwarder/hedge_policy.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -83,12 +82,14 @@
 }
 
 // hedgeDelay returns the time after which an attempt that is expected to take the given time may
-// be hedged, 0 if too little is known.
+// be hedged, 0 if too little is known. It is at most the time after which the attempt would be given
+// up without hedging: if more than one request in twenty hangs, the quantile is the time of those
+// that were hedged, and would grow with each hedge.
 func hedgeDelay(times *placer.ResponseTimes, expected time.Duration) time.Duration {
 	if times.Count() < minHedgeResponses || expected <= 0 {
 		return 0
 	}
-	return max(times.Quantile(hedgeQuantile), expected)
+	return max(min(times.Quantile(hedgeQuantile), overdueFactor*expected), expected)
 }
 
 // hedgeEvent is a time at which to decide on an attempt without a response: first whether it is
@@ -106,10 +107,18 @@
 	for i := range maxHedgeDecisions {
 		events = append(events, hedgeEvent{after: delay + delay/2*time.Duration(1<<i-1)})
 	}
-	if overdue > 0 {
-		events = append(events, hedgeEvent{after: max(overdue, delay), giveUp: true})
-		slices.SortStableFunc(events, func(a, b hedgeEvent) int { return cmp.Compare(a.after, b.after) })
+	if overdue <= 0 {
+		return events
 	}
+	overdue = max(overdue, delay)
+	i := slices.IndexFunc(events, func(e hedgeEvent) bool { return e.after >= overdue })
+	switch {
+	case i < 0:
+		return append(events, hedgeEvent{after: overdue, giveUp: true})
+	case events[i].after > overdue:
+		events = slices.Insert(events, i, hedgeEvent{after: overdue})
+	}
+	events[i].giveUp = true
 	return events
 }
 
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -1,9 +1,13 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -337,3 +341,57 @@
 		})
 	})
 }
+
+// TestHedgeDelayStays has one request in ten hang, so that its first attempt is cancelled before it
+// responds. The delay must not fall to the duration of the others, or more and more requests would be
+// hedged.
+func TestHedgeDelayStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{}
+		f := tb.newHedgingEntry(t, 4, 0.5)
+		for i := range 200 {
+			if i%10 == 0 {
+				tb.setPlan(lateBy(time.Second))
+			}
+			send(f, "/read/1", fmt.Sprint("r", i))
+		}
+		s := f.service("s")
+		s.mu.Lock()
+		got := s.hedges.responseTimes("read").Quantile(hedgeQuantile)
+		s.mu.Unlock()
+		if got < 2*hedgeWork {
+			t.Errorf("got: a 95th percentile of %v want: at least %v, the time until a hedge responds", got, 2*hedgeWork)
+		}
+		tb.close()
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// TestHedgeLogLines hedges many requests within a second. Their log lines must be bounded, and the
+// line of a hedge must name the request, both upstreams and the outcome.
+func TestHedgeLogLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{}
+		f := tb.newHedgingEntry(t, 12, 0.5)
+		var out bytes.Buffer
+		f.options.Log = slog.New(slog.NewJSONHandler(&out, nil))
+		const n = hedgeLinesPerSecond + 3
+		tb.setPlan(slices.Repeat([]fault{lateBy(time.Second)}, n)...)
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Go(func() { send(f, "/read/1", fmt.Sprint("r", i)) })
+		}
+		wg.Wait()
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		if got := hedgesOf(f); got.Sent != n || len(lines) != hedgeLinesPerSecond {
+			t.Errorf("got: %d lines, %+v want: %d lines, %d sent", len(lines), got, hedgeLinesPerSecond, n)
+		}
+		for _, want := range []string{`"msg":"request hedged"`, `"request":"r`, `"service":"s"`, `"upstreams":["u`, `"delay_ms":5`, `"outcome":"second won"`} {
+			if !strings.Contains(lines[0], want) {
+				t.Errorf("got: %s want: a line with %s", lines[0], want)
+			}
+		}
+		tb.close()
+		time.Sleep(2 * time.Minute)
+	})
+}
