--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -221,18 +221,20 @@
 	}
 }
 
-// TestHedgeRetryBudget has no retry left. A slow request must not be hedged: all second attempts
-// together stay within the retry budget.
+// TestHedgeRetryBudget has one retry left. The first slow request must spend it on its hedge, and the
+// second one must not be hedged: all second attempts together stay within the retry budget.
 func TestHedgeRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tb := &testbed{}
 		f := tb.newHedgingEntry(t, 4, 0.5)
-		f.options.RetryBudget.Ratio, f.options.RetryBudget.Allowance = 0, 0
+		f.options.RetryBudget.Ratio, f.options.RetryBudget.Allowance = 0, 5
 		f.UpdateLimits()
-		tb.setPlan(lateBy(145 * time.Millisecond))
-		send(f, "/read/1", "r")
-		if got := hedgesOf(f); got.Sent != 0 || got.Denied["retry budget"] != 1 || tb.runsOf("r") != 1 {
-			t.Errorf("got: %+v, %d runs want: none sent, 1 denied, 1 run", got, tb.runsOf("r"))
+		for _, id := range []string{"r1", "r2"} {
+			tb.setPlan(lateBy(145 * time.Millisecond))
+			send(f, "/read/1", id)
+		}
+		if got := hedgesOf(f); got.Sent != 1 || got.Denied["retry budget"] != 1 || tb.runsOf("r1") != 2 || tb.runsOf("r2") != 1 {
+			t.Errorf("got: %+v, %d and %d runs want: 1 sent, 1 denied, 2 runs and 1", got, tb.runsOf("r1"), tb.runsOf("r2"))
 		}
 		tb.close()
 		time.Sleep(2 * time.Minute)
--- a/limiter/scripts_test.go
+++ b/limiter/scripts_test.go
@@ -77,7 +77,10 @@
 			case "spend":
 				n := 0
 				for range int(parseFloat(args[2])) {
-					if b.Spend(at(args[1])) {
+					ready := b.Ready(at(args[1]))
+					if spent := b.Spend(at(args[1])); spent != ready {
+						t.Errorf("%v: got: spent %v want: %v, as Ready says", args, spent, ready)
+					} else if spent {
 						n++
 					}
 				}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -194,3 +194,17 @@
 		return p.run
 	})
 }
+
+// TestResponseTimesAllocations checks that recording a response time and asking for a quantile
+// allocate nothing: both are done for each request that may be hedged.
+func TestResponseTimesAllocations(t *testing.T) {
+	var times ResponseTimes
+	n := testing.AllocsPerRun(1000, func() {
+		times.Record(100 * time.Millisecond)
+		times.Quantile(0.95)
+		times.TailMedian(50 * time.Millisecond)
+	})
+	if n != 0 {
+		t.Errorf("got: %v allocations want: 0", n)
+	}
+}
--- a/reporter/requestlog_test.go
+++ b/reporter/requestlog_test.go
@@ -12,6 +12,19 @@
 	"poplarwind/forwarder"
 )
 
+// TestHedgeAttribute checks that the line of a hedged request says what was expected of both attempts
+// and which one won: without it, a request that took longer than usual could not be explained.
+func TestHedgeAttribute(t *testing.T) {
+	var out bytes.Buffer
+	r := NewRequestLogger(slog.New(slog.NewJSONHandler(&out, nil)))
+	ms := time.Millisecond
+	r.Log(&forwarder.Record{ID: "r", Status: 200, Hedge: &forwarder.HedgeRecord{First: "u1", Second: "u2", Delay: 104 * ms, FirstExpected: 50 * ms, SecondExpected: 60 * ms, Outcome: "second won"}})
+	const want = `"hedge":{"first":"u1","second":"u2","delay_ms":104,"first_expected_ms":50,"second_expected_ms":60,"outcome":"second won"}`
+	if got := out.String(); !strings.Contains(got, want) {
+		t.Errorf("got: %s want: a line with %s", got, want)
+	}
+}
+
 // TestLineRateLimit checks the rate limits of log lines: successes stay within
 // their rate and do not suppress failures, and requests without a log line are
 // counted.
