placer, forwarder: an upstream that loses to hedges three times in a row is ejected

Cause: a first attempt that lost to its hedge said nothing of its upstream unless it had taken three times its expected duration, so one that hangs, but answers load probes, kept getting requests.

Change: a lost attempt counts among the consecutive failures that eject an upstream, which any response resets. It does not count in the failure rate.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -383,17 +383,22 @@
 // fall with each hedge.
 func (x *exchange) recordFirst(first *contender, lost bool) {
 	s := x.service
-	took := time.Since(first.attempt.StartedAt())
+	now := time.Now()
 	result := first.o.result()
-	if lost && result == placer.Abandoned && took >= overdueFactor*first.expected {
-		// As without hedging: an upstream that never responds is to be ejected.
-		result = placer.Failed
+	ejected := false
+	s.mu.Lock()
+	if lost && result == placer.Abandoned {
+		ejected = s.fleet.FinishLost(now, first.attempt)
+	} else {
+		s.fleet.Finish(now, first.attempt, result, x.serviceTime)
 	}
-	s.finishAttempt(first.attempt, result, x.serviceTime)
 	if result == placer.Answered || lost || first.o.overdue {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.hedges.responseTimes(x.route.Name).Record(took)
+		s.hedges.responseTimes(x.route.Name).Record(now.Sub(first.attempt.StartedAt()))
+	}
+	s.dispatchQueued(now)
+	s.mu.Unlock()
+	if ejected {
+		x.forwarder.options.Log.Warn("upstream ejected", "upstream", first.upstream.ID(), "service", s.name, "cause", "other upstreams responded first to its requests")
 	}
 }
 
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -397,3 +397,31 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// TestHedgeHangingUpstream has one upstream respond to load probes only. Hedges must not hide that it
+// hangs: it must be ejected after a few requests, and not get each request that it looks best for.
+func TestHedgeHangingUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{reached: make(map[string]int)}
+		f := tb.newHedgingEntry(t, 4, 0.5)
+		tb.mu.Lock()
+		tb.hanging = map[string]bool{"u0": true}
+		tb.mu.Unlock()
+		const requests = 40
+		for i := range requests {
+			if status := send(f, "/read/1", fmt.Sprint("r", i)).StatusCode(); status != 200 {
+				t.Errorf("got: status %d want: 200", status)
+			}
+		}
+		hung := 0
+		for i := range requests {
+			hung += tb.runsOf(fmt.Sprint("r", i)) - 1
+		}
+		// Its ejections last 1, 2 and 4 s, and each ends with one more request.
+		if hung < 3 || hung > 6 {
+			t.Errorf("got: %d requests at the upstream that hangs, %+v want: 3 to 6", hung, hedgesOf(f))
+		}
+		tb.close()
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -145,6 +145,8 @@
 	workOf func(id string) time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
+	// hanging holds the upstreams that respond to load probes only.
+	hanging map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
 	reached map[string]int
 	// pausingProbes is set if upstreams reject load probes and ask for a pause, and
@@ -227,6 +229,9 @@
 		if tb.reached != nil {
 			tb.reached[addr]++
 		}
+		if tb.hanging[addr] {
+			f = runAndHang
+		}
 		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes, ""
 		if tb.leavingProbes {
 			leaving = "Leaving: 1\r\n"
--- a/placer/hedge.go
+++ b/placer/hedge.go
@@ -52,6 +52,19 @@
 	return best
 }
 
+// FinishLost records the end of a request that was cancelled because a second attempt at another
+// upstream has won. That a request took longer than elsewhere is no failure; but an upstream that
+// loses several in a row, without any response in between, may hang, and is ejected. FinishLost
+// reports whether it is.
+func (f *Fleet) FinishLost(now time.Time, a *Attempt) bool {
+	u := a.upstream
+	u.inFlight--
+	u.consecutiveFailures++
+	ejected := u.Ejected(now)
+	f.ejectIfFailing(now, u)
+	return !ejected && u.Ejected(now)
+}
+
 // ExpectedAt returns how long a request that is sent to the upstream now is expected to take, 0
 // if it is unknown.
 func (f *Fleet) ExpectedAt(now time.Time, u *Upstream, serviceTime *ServiceTime) time.Duration {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -112,6 +112,10 @@
 			return u.ID()
 		}
 		return "none"
+	case "lost": // lost id, the oldest request there
+		a := p.running[args[1]][0]
+		p.running[args[1]] = p.running[args[1]][1:]
+		return fmt.Sprint(f.FinishLost(p.now, a))
 	case "taken":
 		return fmt.Sprintf("%.2f", f.TakenFraction(p.now))
 	case "respond": // respond count milliseconds
