forwarder: an attempt whose response has begun is neither hedged nor given up

Cause: after the delay the first byte of a response was not noticed any more. A response with a slow body was given up when it was overdue, which it is not without hedging: 200 ms and two runs instead of 370 ms and one in a test.

Change: the first attempt says when its first byte has come. Load probes for a hedge are broken off then, too.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -52,6 +52,9 @@
 	cancel context.CancelFunc
 	// stop ends the effect of ctx on the connection.
 	stop func() bool
+	// responding is closed when the first byte of a response to the first attempt can be read, or
+	// when it has failed.
+	responding chan struct{}
 	// done is closed when o is final, if the attempt runs in a goroutine of its own.
 	done    chan struct{}
 	running bool
@@ -61,7 +64,7 @@
 }
 
 func (x *exchange) newContender(cand candidate) *contender {
-	c := &contender{candidate: cand, done: make(chan struct{})}
+	c := &contender{candidate: cand, responding: make(chan struct{}), done: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancel(x.caller)
 	return c
 }
@@ -85,10 +88,10 @@
 	}
 }
 
-// ended reports whether the attempt has ended.
-func (c *contender) ended() bool {
+// responds reports whether responding is closed.
+func (c *contender) responds() bool {
 	select {
-	case <-c.done:
+	case <-c.responding:
 		return true
 	default:
 		return false
@@ -111,14 +114,18 @@
 		return first.o
 	}
 	first.stop = x.begin(first.ctx, cand, &first.o)
-	if first.o.err != nil || x.awaitFirst(first, events[0].after) {
+	if first.o.err != nil || x.awaitFirst(first, cand.attempt.StartedAt().Add(events[0].after)) {
 		x.complete(cand, &first.o, first.stop)
 		x.recordFirst(first, false)
 		return first.o
 	}
 	// Both attempts may need the fingerprint, which is computed on first use.
 	x.fingerprint()
-	x.runContender(first, func() { x.complete(cand, &first.o, first.stop) })
+	x.runContender(first, func() {
+		x.awaitFirst(first, x.deadline)
+		close(first.responding)
+		x.complete(cand, &first.o, first.stop)
+	})
 	second, verdict := x.awaitHedge(first, events)
 	if second == nil {
 		x.recordFirst(first, false)
@@ -150,10 +157,10 @@
 	return hedgeEvents(delay, overdue)
 }
 
-// awaitFirst waits for the first byte of the response to the first attempt until the time after its
-// start. It reports true if the response can be read, or if the caller has disconnected.
-func (x *exchange) awaitFirst(first *contender, after time.Duration) bool {
-	responded := first.conn.AwaitResponse(first.ctx, first.attempt.StartedAt().Add(after))
+// awaitFirst waits for the first byte of the response to the first attempt until t. It reports true if
+// the response can be read, or if the attempt was cancelled.
+func (x *exchange) awaitFirst(first *contender, t time.Time) bool {
+	responded := first.conn.AwaitResponse(first.ctx, t)
 	first.conn.SetDeadline(x.deadline)
 	if first.ctx.Err() != nil {
 		first.conn.Abort()
@@ -162,8 +169,9 @@
 	return responded
 }
 
-// awaitHedge waits until the first attempt has ended or is hedged. It returns the second attempt, or
-// nil if the first has ended, with the last verdict.
+// awaitHedge waits until the first attempt has ended or is hedged. One whose response has begun is
+// neither hedged nor given up. It returns the second attempt, or nil if the first has ended, with the
+// last verdict.
 func (x *exchange) awaitHedge(first *contender, events []hedgeEvent) (*contender, hedgeVerdict) {
 	verdict := hedgeAllowed
 	timer := time.NewTimer(0)
@@ -171,7 +179,8 @@
 	for _, event := range events {
 		timer.Reset(time.Until(first.attempt.StartedAt().Add(event.after)))
 		select {
-		case <-first.done:
+		case <-first.responding:
+			<-first.done
 			return nil, verdict
 		case <-timer.C:
 		}
@@ -181,7 +190,7 @@
 				return second, verdict
 			}
 		}
-		if event.giveUp && x.giveUp(first) {
+		if event.giveUp && !first.responds() && x.giveUp(first) {
 			break
 		}
 	}
@@ -244,11 +253,11 @@
 }
 
 // pickHedge probes upstreams, of the entry's failure domain first, and starts the second attempt on
-// the best of them that is free, unless the first one ends meanwhile. It returns the expected
+// the best of them that is free, unless the first one responds meanwhile. It returns the expected
 // duration of the attempt.
 func (x *exchange) pickHedge(first *contender) (picked candidate, expected time.Duration, verdict hedgeVerdict) {
 	s := x.service
-	// A probe that is broken off when the first attempt ends may outlast the request, whose ID is
+	// A probe that is broken off when the first attempt responds may outlast the request, whose ID is
 	// not valid then.
 	prober := &exchange{forwarder: x.forwarder, service: s, healthURI: x.healthURI, maxConns: x.maxConns, id: bytes.Clone(x.id)}
 	r := &probeRound{pool: x.forwarder.pool, results: make(chan candidate, 2*hedgeProbes), onFailure: prober.recordProbeFailure}
@@ -261,9 +270,9 @@
 		upstreams := s.fleet.SelectProbes(nil, now, hedgeProbes, scope, skip)
 		s.mu.Unlock()
 		if len(upstreams) > 0 {
-			candidates = prober.collect(first.done, r, upstreams, candidates)
+			candidates = prober.collect(first.responding, r, upstreams, candidates)
 		}
-		if first.ended() {
+		if first.responds() {
 			verdict = hedgeAllowed
 			break
 		}
@@ -360,7 +369,7 @@
 		timer := time.NewTimer(time.Until(first.attempt.StartedAt().Add(event.after)))
 		defer timer.Stop()
 		select {
-		case <-first.done:
+		case <-first.responding:
 		case <-timer.C:
 			x.giveUp(first)
 		}
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -92,6 +92,9 @@
 		{name: "both hang", path: "/read/1", ratio: 0.5, plan: []fault{runAndHang, runAndHang}, status: 504, runs: 2, least: 1500 * time.Millisecond, most: 1500 * time.Millisecond, sent: 1},
 		{name: "limit used up", path: "/read/1", ratio: 0.01, plan: []fault{lateBy(140 * time.Millisecond)}, status: 200, runs: 1, least: 140 * time.Millisecond, most: 140 * time.Millisecond, deniedCause: "limit"},
 		{name: "limit used up, given up", path: "/read/1", ratio: 0.01, plan: []fault{runAndHang}, status: 200, runs: 2, least: 200 * time.Millisecond, most: 200 * time.Millisecond, deniedCause: "limit"},
+		{name: "body slow", path: "/read/1", ratio: 0.5, plan: []fault{headAfter(40 * time.Millisecond)}, status: 200, runs: 1, least: 340 * time.Millisecond, most: 340 * time.Millisecond},
+		{name: "body slow after the limit is used up", path: "/read/1", ratio: 0.01, plan: []fault{headAfter(70 * time.Millisecond)}, status: 200, runs: 1, least: 370 * time.Millisecond, most: 370 * time.Millisecond, deniedCause: "limit"},
+		{name: "body slow after the second failed", path: "/read/1", ratio: 0.5, plan: []fault{headAfter(70 * time.Millisecond), shed}, status: 200, runs: 1, least: 370 * time.Millisecond, most: 370 * time.Millisecond, sent: 1},
 		{name: "off", path: "/read/1", plan: []fault{runAndHang}, status: 200, runs: 2, least: 200 * time.Millisecond, most: 200 * time.Millisecond},
 		{name: "must not run twice", path: "/order/1", ratio: 0.5, plan: []fault{lateBy(time.Second)}, status: 200, runs: 1, least: time.Second, most: time.Second},
 	} {
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -121,6 +121,10 @@
 func lateBy(d time.Duration) fault       { return fault("late " + d.String()) }
 func failingAfter(d time.Duration) fault { return fault("failing " + d.String()) }
 
+// headAfter is the fault of an upstream that sends the head of a response after the time, and the body
+// 300 ms later.
+func headAfter(d time.Duration) fault { return fault("head " + d.String()) }
+
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, failedBusy, failedLimit, shed, misdirected,
 	truncated, noLength, garbage, zeroStatus, blankInName, emptyLine, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
@@ -349,8 +353,14 @@
 	if tb.workOf != nil {
 		work = tb.workOf(id)
 	}
-	if kind, after, ok := strings.Cut(string(f), " "); ok && (kind == "late" || kind == "failing") {
+	if kind, after, ok := strings.Cut(string(f), " "); ok && (kind == "late" || kind == "failing" || kind == "head") {
 		work, _ = time.ParseDuration(after)
+		if kind == "head" {
+			time.Sleep(work)
+			write("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 5\r\n\r\n", id)
+			time.Sleep(300 * time.Millisecond)
+			return write("whole")
+		}
 		if kind == "failing" {
 			time.Sleep(work)
 			return write("HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", id)
