--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"poplarwind/apportioner"
 	"poplarwind/bufferer"
@@ -65,6 +66,9 @@
 	Domain string
 	// RetryBudget is the retry budget of all entries together.
 	RetryBudget RetryBudget
+	// Hedge is the maximum fraction of the idempotent requests for a service that are sent
+	// to a second upstream while the first one may still respond. 0 means none.
+	Hedge float64
 	// ProbeRate is the maximum rate of load probes to one upstream, per second
 	// and over all entries. 0 means 10.
 	ProbeRate float64
@@ -139,6 +143,8 @@
 	end atomic.Pointer[time.Time]
 	// evacuationsKnown is set when the evacuated failure domains were set.
 	evacuationsKnown atomic.Bool
+	// hedgeLines limits the log lines about hedges.
+	hedgeLines *rate.Limiter
 
 	mu sync.Mutex
 	// evacuated holds the evacuated failure domains.
@@ -179,7 +185,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	f := &Forwarder{options: o, services: make(map[string]*service)}
+	f := &Forwarder{options: o, services: make(map[string]*service), hedgeLines: newHedgeLimiter()}
 	f.entries = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: o.Dial, Budget: o.Budget}
 	f.pool = &pooler.Pool{DialTimeout: dialTimeout, BufferSize: headerBufferSize, Dial: f.dialUpstream, Budget: o.Budget}
 	return f
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -133,6 +133,15 @@
 	leaves fault = "says that it leaves"
 )
 
+// lateBy is the fault of an upstream that responds after the time, and failingAfter that of one that
+// fails then.
+func lateBy(d time.Duration) fault       { return fault("late " + d.String()) }
+func failingAfter(d time.Duration) fault { return fault("failing " + d.String()) }
+
+// headAfter is the fault of an upstream that sends the head of a response after the time, and the body
+// 300 ms later.
+func headAfter(d time.Duration) fault { return fault("head " + d.String()) }
+
 var faults = []fault{
 	healthy, refused, cutAtAccept, cutInRequest, cutAfterRead, runAndCut, runAndHang, runSlowly, failed, failedLate, failedBusy, failedLimit, shed, misdirected,
 	truncated, noLength, garbage, zeroStatus, blankInName, emptyLine, unstamped, encoded, excess, staleFirst, closeAfter, shedTwice,
@@ -155,8 +164,12 @@
 	work time.Duration
 	// probeTime is the longest time that each upstream takes for a load probe.
 	probeTime time.Duration
+	// workOf returns how long any upstream takes for a request, if it is not nil.
+	workOf func(id string) time.Duration
 	// unresponsive holds the upstreams that do not respond to load probes.
 	unresponsive map[string]bool
+	// hanging holds the upstreams that respond to load probes only.
+	hanging map[string]bool
 	// reached counts the requests and load probes at each upstream, if it is not nil.
 	reached map[string]int
 	// headers holds the header of each request that reached an upstream, by ID, if it is not nil.
@@ -244,6 +257,9 @@
 			tb.reached[addr]++
 		}
 		probeTime := time.Duration(rand.Float64() * float64(tb.probeTime))
+		if tb.hanging[addr] {
+			f = runAndHang
+		}
 		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes, ""
 		if tb.leavingProbes {
 			leaving = "Leaving: 1\r\n"
@@ -371,7 +387,24 @@
 		complete("Connection: close\r\n")
 		return false
 	}
-	time.Sleep(tb.work)
+	work := tb.work
+	if tb.workOf != nil {
+		work = tb.workOf(id)
+	}
+	if kind, after, ok := strings.Cut(string(f), " "); ok && (kind == "late" || kind == "failing" || kind == "head") {
+		work, _ = time.ParseDuration(after)
+		if kind == "head" {
+			time.Sleep(work)
+			write("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: 5\r\n\r\n", id)
+			time.Sleep(300 * time.Millisecond)
+			return write("whole")
+		}
+		if kind == "failing" {
+			time.Sleep(work)
+			return write("HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	}
+	time.Sleep(work)
 	return complete("")
 }
 
--- a/reporter/requestlog.go
+++ b/reporter/requestlog.go
@@ -64,6 +64,9 @@
 	if e := v.Estimate; e != nil {
 		attrs = append(attrs, slog.Group("queue", "ahead", e.Ahead, "slots", round(e.Slots), "latency_ms", e.Latency.Milliseconds(), "wait_ms", e.Wait.Milliseconds()))
 	}
+	if h := v.Hedge; h != nil {
+		attrs = append(attrs, slog.Group("hedge", "first", h.First, "second", h.Second, "delay_ms", h.Delay.Milliseconds(), "first_expected_ms", h.FirstExpected.Milliseconds(), "second_expected_ms", h.SecondExpected.Milliseconds(), "outcome", h.Outcome))
+	}
 	if len(v.RelayedTo) > 0 {
 		attrs = append(attrs, "relayed_to", v.RelayedTo)
 	}
