forwarder: the ID of a request is a copy

Load probes that are broken off and checks for crashes may outlast the request, and log its ID. The ID was a part of the request's header, whose memory the next request on the connection uses: a data race, and log lines that named another request. It is now a string that is copied once, which the log needed anyway; the copy in hedge.go is gone.

TestProbeOutlastsRequest: before, the line about a pause named "other"; now "first", also under the race detector (3 runs).

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -39,7 +39,7 @@
 	case x.customer != nil:
 		key = flowKey{customer: x.customer.Name}
 	case x.relayed:
-		key = flowKey{request: string(x.id)}
+		key = flowKey{request: x.id}
 	case key.caller.Is6():
 		if p, err := key.caller.WithZone("").Prefix(flowPrefixBits); err == nil {
 			key.caller = p.Addr()
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -62,7 +62,7 @@
 		return
 	}
 	if f := x.fingerprint(); t.RecordResponse(time.Now(), f) {
-		x.forwarder.options.Log.Info("request completed that was known for crashes", "request", string(x.id), "service", x.service.name, "fingerprint", f.String())
+		x.forwarder.options.Log.Info("request completed that was known for crashes", "request", x.id, "service", x.service.name, "fingerprint", f.String())
 	}
 }
 
@@ -79,7 +79,7 @@
 // check of an upstream at a time, for all requests that were lost meanwhile.
 func (x *exchange) recordLost(u *placer.Upstream, err error) {
 	s := x.service
-	r := lostRequest{id: string(x.id), fingerprint: x.fingerprint()}
+	r := lostRequest{id: x.id, fingerprint: x.fingerprint()}
 	s.mu.Lock()
 	_, checking := s.lost[u]
 	if s.lost == nil {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -48,8 +48,9 @@
 	call      *pipeliner.Call
 	// caller ends when the caller has disconnected.
 	caller context.Context
-	// id is valid until the call's response is written.
-	id      []byte
+	// id is a copy: load probes and checks for crashes may outlast the request, whose memory is
+	// then used for the next one on the connection.
+	id      string
 	route   *router.ActiveRoute
 	version int64
 	// customer is the customer whose key the request bears, nil if it bears none or an unknown
@@ -173,7 +174,7 @@
 	if x.route.Idempotent || !promisesNotRun(resp.StatusCode()) {
 		return result{resp: resp}
 	}
-	x.forwarder.options.Log.Warn("upstream rejected a request that it may have run", "request", string(x.id), "service", x.service.name, "status", resp.StatusCode())
+	x.forwarder.options.Log.Warn("upstream rejected a request that it may have run", "request", x.id, "service", x.service.name, "status", resp.StatusCode())
 	fasthttp.ReleaseResponse(resp)
 	x.mayHaveRun = true
 	return x.fail(errUnproven)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -341,7 +341,7 @@
 
 // admit validates a request and determines its route, deadline and service.
 func (f *Forwarder) admit(ctx context.Context, c *pipeliner.Call) (*exchange, error) {
-	x := &exchange{forwarder: f, call: c, caller: ctx, id: f.options.Dialect.ID(&c.Request.Header), dequeued: make(chan struct{}, 1)}
+	x := &exchange{forwarder: f, call: c, caller: ctx, id: string(f.options.Dialect.ID(&c.Request.Header)), dequeued: make(chan struct{}, 1)}
 	if f.closed.Load() {
 		return x, errDraining
 	}
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -257,9 +256,8 @@
 // duration of the attempt.
 func (x *exchange) pickHedge(first *contender) (picked candidate, expected time.Duration, verdict hedgeVerdict) {
 	s := x.service
-	// A probe that is broken off when the first attempt responds may outlast the request, whose ID is
-	// not valid then.
-	prober := &exchange{forwarder: x.forwarder, service: s, healthURI: x.healthURI, maxConns: x.maxConns, id: bytes.Clone(x.id)}
+	// A probe that is broken off when the first attempt responds may outlast the request.
+	prober := &exchange{forwarder: x.forwarder, service: s, healthURI: x.healthURI, maxConns: x.maxConns, id: x.id}
 	r := &probeRound{pool: x.forwarder.pool, results: make(chan candidate, 2*hedgeProbes), onFailure: prober.recordProbeFailure}
 	var candidates []candidate
 	verdict = deniedUpstream
@@ -435,7 +433,7 @@
 	s.mu.Unlock()
 	x.hedged = h
 	if x.forwarder.hedgeLines.Allow() {
-		x.forwarder.options.Log.Info("request hedged", "request", string(x.id), "service", s.name, "route", x.route.Name, "upstreams", []string{h.First, h.Second},
+		x.forwarder.options.Log.Info("request hedged", "request", x.id, "service", s.name, "route", x.route.Name, "upstreams", []string{h.First, h.Second},
 			"delay_ms", h.Delay.Milliseconds(), "first_expected_ms", h.FirstExpected.Milliseconds(), "second_expected_ms", h.SecondExpected.Milliseconds(), "outcome", h.Outcome)
 	}
 }
--- a/forwarder/leaving.go
+++ b/forwarder/leaving.go
@@ -27,7 +27,7 @@
 	s.mu.Unlock()
 	if news {
 		x.forwarder.pool.CloseIdle(u.Addr())
-		x.forwarder.options.Log.Info("upstream says that it leaves", "upstream", u.ID(), "service", s.name, "source", source.String(), "request", string(x.id))
+		x.forwarder.options.Log.Info("upstream says that it leaves", "upstream", u.ID(), "service", s.name, "source", source.String(), "request", x.id)
 	}
 }
 
--- a/forwarder/probe_test.go
+++ b/forwarder/probe_test.go
@@ -1,10 +1,18 @@
 package forwarder
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"poplarwind/pipeliner"
 )
 
 // TestProbeTimeoutEjection checks the ejection of upstreams that do not respond
@@ -49,3 +57,29 @@
 		})
 	}
 }
+
+// TestProbeOutlastsRequest has the response to a load probe arrive after the request has ended and its
+// memory is used for the next one on the connection: the log line about what the upstream states must
+// still name the request that the probe was sent for.
+func TestProbeOutlastsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{runs: make(map[string]int), load: map[string]int{"u0": 1}, probeTimes: map[string]time.Duration{"u1": probeTimeout / 2}, pausing: map[string]bool{"u1": true}}
+		f := tb.newEntry(t, 2)
+		var out bytes.Buffer
+		f.options.Log = slog.New(slog.NewJSONHandler(&out, nil))
+		var req fasthttp.Request
+		req.SetRequestURI("/read/1")
+		req.Header.SetHost("h")
+		req.Header.Set("Id", "first")
+		c := pipeliner.Call{Request: &req, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
+		f.Handle(context.Background(), &c)
+		copy(req.Header.Peek("Id"), "other")
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if lines := out.String(); !strings.Contains(lines, `"upstream":"u1"`) || !strings.Contains(lines, `"request":"first"`) || strings.Contains(lines, "other") {
+			t.Errorf("got: %s want: a line about u1 and the first request", lines)
+		}
+		tb.close()
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"strconv"
 	"time"
@@ -50,7 +49,7 @@
 	}
 	n, err := strconv.Atoi(string(v))
 	if err != nil || n < 0 {
-		x.forwarder.options.Log.Debug("header of a relayed request can't be parsed", "request", string(x.id), "value", string(v))
+		x.forwarder.options.Log.Debug("header of a relayed request can't be parsed", "request", x.id, "value", string(v))
 		n = 0
 	}
 	x.relayed, x.earlier = true, n
@@ -140,7 +139,7 @@
 	}
 	n, err := strconv.Atoi(string(v))
 	if err != nil || n < 0 {
-		x.forwarder.options.Log.Warn("attempts of a relayed request can't be parsed", "request", string(x.id), "value", string(v))
+		x.forwarder.options.Log.Warn("attempts of a relayed request can't be parsed", "request", x.id, "value", string(v))
 		n = x.route.Attempts
 	}
 	rejection.Header.Del(headerAttempts)
@@ -310,7 +309,7 @@
 	if err == nil {
 		info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
 		own := x.isOwn(resp) && resp.StatusCode() >= fasthttp.StatusBadRequest
-		if own || bytes.Equal(info.ID, x.id) && x.valid(resp, info) {
+		if own || string(info.ID) == x.id && x.valid(resp, info) {
 			return resp, nil
 		}
 		err = errors.Trace(errIncomplete)
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -139,7 +139,7 @@
 
 func (x *exchange) record(res result) *Record {
 	now := time.Now()
-	r := &Record{ID: string(x.id), Status: x.call.Response.StatusCode(), Version: x.version, QueueTime: x.queueTime, Duration: now.Sub(x.call.ArrivedAt)}
+	r := &Record{ID: x.id, Status: x.call.Response.StatusCode(), Version: x.version, QueueTime: x.queueTime, Duration: now.Sub(x.call.ArrivedAt)}
 	if res.err != nil {
 		r.Cause = res.err.Error()
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"strconv"
@@ -151,7 +150,7 @@
 // logBrokenOff logs a response that this entry broke off.
 func (x *exchange) logBrokenOff(u *placer.Upstream, err error) {
 	if brokenOff(err) {
-		x.forwarder.options.Log.Warn("response broken off", "request", string(x.id), "upstream", u.ID(), "service", x.service.name, "error", err.Error())
+		x.forwarder.options.Log.Warn("response broken off", "request", x.id, "upstream", u.ID(), "service", x.service.name, "error", err.Error())
 	}
 }
 
@@ -263,7 +262,7 @@
 			fasthttp.ReleaseResponse(resp)
 			return nil, err
 		}
-		if len(info.ID) > 0 && !bytes.Equal(info.ID, x.id) {
+		if len(info.ID) > 0 && string(info.ID) != x.id {
 			continue
 		}
 		// A rejection that names no request may be an earlier one, written again.
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -30,7 +30,7 @@
 		return info
 	}
 	if info.PauseError != nil {
-		x.forwarder.options.Log.Warn("pause that upstream asks for can't be parsed", "upstream", u.ID(), "service", x.service.name, "source", source.String(), "request", string(x.id), "error", info.PauseError.Error())
+		x.forwarder.options.Log.Warn("pause that upstream asks for can't be parsed", "upstream", u.ID(), "service", x.service.name, "source", source.String(), "request", x.id, "error", info.PauseError.Error())
 	}
 	if info.Leaving {
 		x.recordLeaving(u, source)
@@ -49,7 +49,7 @@
 	sent := u.SentWhilePaused()
 	s.mu.Unlock()
 	if begins {
-		x.forwarder.options.Log.Info("upstream asks for a pause", "upstream", u.ID(), "service", s.name, "pause_ms", pause.Milliseconds(), "source", source.String(), "request", string(x.id), "sent_in_pauses", sent)
+		x.forwarder.options.Log.Info("upstream asks for a pause", "upstream", u.ID(), "service", s.name, "pause_ms", pause.Milliseconds(), "source", source.String(), "request", x.id, "sent_in_pauses", sent)
 	}
 }
 
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -177,6 +177,10 @@
 	// pausingProbes is set if upstreams reject load probes and ask for a pause, and
 	// leavingProbes if they say in load probes that they leave.
 	pausingProbes, leavingProbes bool
+	// pausing holds the upstreams that reject load probes and ask for a pause.
+	pausing map[string]bool
+	// probeTimes holds how long upstreams take to respond to load probes, if not probeTime.
+	probeTimes map[string]time.Duration
 	// warmups holds what upstreams say in load probes of how much longer they are cold.
 	warmups map[string]string
 	conns   []net.Conn
@@ -257,10 +261,13 @@
 			tb.reached[addr]++
 		}
 		probeTime := time.Duration(rand.Float64() * float64(tb.probeTime))
+		if d, ok := tb.probeTimes[addr]; ok {
+			probeTime = d
+		}
 		if tb.hanging[addr] {
 			f = runAndHang
 		}
-		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes, ""
+		load, unresponsive, pausing, leaving := tb.load[addr], tb.unresponsive[addr], tb.pausingProbes || tb.pausing[addr], ""
 		if tb.leavingProbes {
 			leaving = "Leaving: 1\r\n"
 		}
--- a/forwarder/warmup.go
+++ b/forwarder/warmup.go
@@ -68,7 +68,7 @@
 	if !info.WarmupStated || !x.service.fleet.RecordWarmup(time.Now(), u, info.Warmup, sentAt) {
 		return false
 	}
-	x.service.logWarmup(x.forwarder.options, u, info.Warmup, sourceProbe, "request", string(x.id))
+	x.service.logWarmup(x.forwarder.options, u, info.Warmup, sourceProbe, "request", x.id)
 	return true
 }
 
