runner: the quotas in force are those of the configuration in force

Two tasks may apply configurations at the same time. One that had put an older configuration in force could apply its quotas after the newer one's, which then stayed until the next change. Both are now applied under a lock, the quotas first, so that no customer with a known key is without its quota.

--- a/runner/apply.go
+++ b/runner/apply.go
@@ -86,6 +86,8 @@
 
 // applySpec puts a configuration of a revision of the store in force if it supersedes the one in force.
 func (g *Gateway) applySpec(s *router.Spec, revision uint64) {
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	old := g.forwarder.Table()
 	if !s.Supersedes(old) {
 		return
@@ -95,10 +97,11 @@
 		g.log.Warn("configuration refused", "version", s.Version, "rev", revision, "error", err.Error())
 		return
 	}
+	// A customer whose key is known must not be without its quota.
+	g.quotas.configure(time.Now(), s)
 	if !g.forwarder.Configure(t) {
 		return
 	}
-	g.quotas.configure(time.Now(), s)
 	g.log.Info("configuration in force", "version", t.Version(), "rev", revision, "routes", len(s.Routes), "customers", len(s.Customers))
 	if n := t.AmbiguousKeys(); n > 0 {
 		g.log.Warn("keys belong to several customers, the first one has them", "version", t.Version(), "keys", n)
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,9 @@
 	quarantiner *quarantiner.Quarantiner
 	quotas      *quotaExchange
 	refresher   refresher
+	// applying is held while a configuration is put in force, so that its routes and quotas are of
+	// the same one.
+	applying sync.Mutex
 	// unread is the highest version of a configuration that lacks fields and could not be read from
 	// the store.
 	unread     atomic.Int64
--- a/runner/quota_test.go
+++ b/runner/quota_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +34,27 @@
 	}
 }
 
+// TestQuotasOfConfigurationInForce has a task apply a configuration while another one applies an older,
+// large one. It guards against the quotas of the older one beside the keys of the one in force.
+func TestQuotasOfConfigurationInForce(t *testing.T) {
+	g := newIdleGateway(t)
+	old := &router.Spec{Version: 1, Customers: []router.Customer{{Name: "acme", Rate: 1, Burst: 5}}}
+	for i := range 50000 {
+		old.Customers = append(old.Customers, router.Customer{Name: fmt.Sprint("c", i), Rate: 1})
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { g.applySpec(old, 1) })
+	for g.forwarder.Table() == nil {
+		runtime.Gosched()
+	}
+	g.applySpec(&router.Spec{Version: 2, Customers: []router.Customer{{Name: "acme", Rate: 2, Burst: 5}}}, 2)
+	wg.Wait()
+	g.quotas.table.Admit(time.Now(), "acme")
+	if got := g.quotas.table.Status(time.Now()); g.forwarder.Table().Version() != 2 || len(got) != 1 || got[0].Rate != 2 {
+		t.Errorf("got: version %d, %+v want: version 2 with its rate", g.forwarder.Table().Version(), got)
+	}
+}
+
 // TestFewEntries guards against an entry that takes a part of the others for all of them just after it
 // was cut off, and against one that stays reduced after entries were removed for good.
 func TestFewEntries(t *testing.T) {
