forwarder: a relayed request that may have run is not rejected as if it had not

An entry that relays an idempotent request may get no response from one entry, and a 429, 401 or another rejection from the next, which knows nothing of the earlier attempt. The caller got that rejection, which promises that the request did not run. It now gets the fallback response, or 502.

The causes of rejections of metrics lacked those by keys and evacuations, which were counted as other ones.

TestRejectionOfRelayedRequestThatRan: before 429, now 502. TestRejectionCausesComplete: before, three causes were missing.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -96,6 +96,7 @@
 var rejectionCauses = []error{
 	errDraining, errNoConfig, errNoRoute, errOverQuota, errNoCustomer, errBodyTooLarge, errNoSlot, errRateLimited, errPaused, errBarred,
 	errQuarantined, errCutOff, errNoUpstream, errDisconnected, errTimeout, errNoRetry,
+	errNoKey, errNoEvacuations, errEvacuated,
 }
 
 // RejectionCauses returns the causes of rejections as in Record.Cause. Metrics have no others as values.
--- a/forwarder/admission_test.go
+++ b/forwarder/admission_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -248,3 +249,32 @@
 		}
 	}
 }
+
+// TestRejectionCausesComplete guards against rejections by customers and evacuations that metrics count as
+// other ones.
+func TestRejectionCausesComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{runs: map[string]int{}}
+		f := tb.newEntry(t, 3)
+		var causes []string
+		f.options.OnComplete = func(r *Record) { causes = append(causes, r.Cause) }
+		f.options.AwaitEvacuations = true
+		send(f, "/read/1", "evacuations not known")
+		f.SetEvacuated(map[string]bool{"a": true})
+		send(f, "/read/1", "evacuated")
+		f.SetEvacuated(nil)
+		f.Configure(newCustomerTable(t, 2, newTestCustomer(testKey)...))
+		send(f, "/read/1", "no key")
+		f.RejectNew()
+		send(f, "/read/1", "leaving")
+		for _, cause := range causes {
+			if !slices.Contains(RejectionCauses(), cause) {
+				t.Errorf("got: %q not among the causes want: all of %q", cause, causes)
+			}
+		}
+		if len(causes) != 4 {
+			t.Errorf("got: %q want: 4 causes", causes)
+		}
+		tb.endTest()
+	})
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -79,6 +79,11 @@
 		}
 		o := x.relayTo(c)
 		if o.resp != nil && !o.notRun {
+			if x.isOwn(o.resp) && x.mayHaveRun && o.resp.StatusCode() < fasthttp.StatusInternalServerError {
+				// The other entry knows nothing of the earlier attempts.
+				fasthttp.ReleaseResponse(o.resp)
+				break
+			}
 			x.releaseFallback()
 			if x.isOwn(o.resp) {
 				return result{resp: o.resp}
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -142,3 +144,42 @@
 		})
 	}
 }
+
+// TestRejectionOfRelayedRequestThatRan has an entry take a relayed request and give no response, and the
+// next one reject it as over quota: a 429 would promise the caller that the request did not run.
+func TestRejectionOfRelayedRequestThatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newRelayPair(t)
+		table := newCustomerTable(t, 2, newTestCustomer(testKey)...)
+		p.cut.Configure(table)
+		p.far.Configure(table)
+		p.far.options.Quota = &scriptedQuota{}
+		p.cut.options.Relays = func(string) []string { return []string{"lossy", "gone", "far"} }
+		dial := p.cut.options.Dial
+		p.cut.entries.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			if addr != "lossy" {
+				return dial(ctx, addr)
+			}
+			near, end := net.Pipe()
+			go loseRequest(end)
+			return near, nil
+		}
+		if resp := sendKey(p.cut, "/read/1", "r"); resp.StatusCode() != fasthttp.StatusBadGateway {
+			t.Errorf("got: %d want: 502", resp.StatusCode())
+		}
+		p.tb.endTest()
+	})
+}
+
+// loseRequest answers the question whether the entry takes relayed requests, reads one and closes the
+// connection.
+func loseRequest(c net.Conn) {
+	r := bufio.NewReader(c)
+	var req fasthttp.Request
+	if req.Read(r) == nil {
+		if _, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n"); err == nil {
+			_ = req.Read(r)
+		}
+	}
+	_ = c.Close()
+}
