forwarder: Poplar-Relayed is trusted only with a proof

A caller who sent Poplar-Relayed exempted requests from the retry budget's count, from the turns of flows, and with a count above 0 from the check of late admissions to the quota. Entries now add Poplar-Relay-Proof, an HMAC by their secret over the ID of the request and the count, and grant these only with it. Upstreams get neither header.

Without a proof the header still restricts the request: it is not relayed again, so that there is no loop between entries that don't accept each other's proofs, its earlier attempts count, and a rejection states its attempts. A request that this entry has not sent yet is checked for a late admission, whatever was sent elsewhere. Poplar-Attempts of another entry's final response does not reach the caller any more.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -31,14 +31,14 @@
 }
 
 // queueFlow returns the flow of the request in the admission queue: that of its customer, or else
-// of its caller. The caller's address of a relayed request is that of another entry, which has
+// of its caller. The caller's address of a request that is proven to be relayed is that of another entry, which has
 // several callers, so that each is a flow of its own.
 func (x *exchange) queueFlow() uint64 {
 	key := flowKey{caller: x.call.Caller}
 	switch {
 	case x.customer != nil:
 		key = flowKey{customer: x.customer.Name}
-	case x.relayed:
+	case x.proven:
 		key = flowKey{request: x.id}
 	case key.caller.Is6():
 		if p, err := key.caller.WithZone("").Prefix(flowPrefixBits); err == nil {
--- a/forwarder/admission_test.go
+++ b/forwarder/admission_test.go
@@ -225,7 +225,7 @@
 // and that would share one.
 func TestQueueFlow(t *testing.T) {
 	flow := func(addr, id, customer string, relayed bool) uint64 {
-		x := exchange{call: &pipeliner.Call{Caller: netip.MustParseAddr(addr)}, id: id, relayed: relayed}
+		x := exchange{call: &pipeliner.Call{Caller: netip.MustParseAddr(addr)}, id: id, proven: relayed}
 		if customer != "" {
 			x.customer = &router.Customer{Name: customer}
 		}
--- a/forwarder/customer.go
+++ b/forwarder/customer.go
@@ -85,10 +85,10 @@
 	return nil
 }
 
-// lateForQuota reports whether the request, which has not been sent yet, was admitted to the quota so long
+// lateForQuota reports whether the request, which this entry has not sent yet, was admitted to the quota so long
 // ago that it must not be sent any more.
 func (x *exchange) lateForQuota() bool {
-	if x.countedAt.IsZero() || x.attempts() > 0 {
+	if x.countedAt.IsZero() || len(x.attempted) > 0 {
 		return false
 	}
 	now := time.Now()
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -82,10 +82,12 @@
 	unreachable []*placer.Upstream
 	// mayHaveRun reports whether an upstream may have run the request.
 	mayHaveRun bool
-	// relayed is set if another entry relays the request, after it was sent to as many
-	// upstreams as earlier says.
-	relayed bool
-	earlier int
+	// relayed is set if the request says that another entry relays it, after it was sent to as
+	// many upstreams as earlier says. proven is set if that is proven. Without proof this only
+	// restricts the request: it is not relayed again, and has fewer attempts left. Entries of
+	// builds before the proof rely on that.
+	relayed, proven bool
+	earlier         int
 	// rejection is the last rejection of the request by another entry.
 	rejection *fasthttp.Response
 	// direct is set if the request is not relayed although the entry is cut off from the
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,6 +100,8 @@
 	// in which they are to be tried for a request for a service while this entry does
 	// not. Nil means that there are none.
 	Relays func(service string) []string
+	// Secret proves to other entries that this one relays a request. Without it nothing is proven.
+	Secret []byte
 	// Quota decides which requests of customers are within their quotas. Nil means that there
 	// are none.
 	Quota Quota
@@ -381,7 +383,7 @@
 	if x.quarantined() {
 		return x, errQuarantined
 	}
-	x.serviceTime = x.service.admit(x.route.Name, !x.relayed)
+	x.serviceTime = x.service.admit(x.route.Name, !x.proven)
 	if end := f.end.Load(); end != nil && x.outlasts(*end) {
 		return x, errDraining
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/internal/guarder"
+	"poplarwind/internal/signer"
 	"poplarwind/pipeliner"
 	"poplarwind/pooler"
 )
@@ -18,6 +19,10 @@
 // to before. It is not forwarded to upstreams.
 const headerRelayed = "Poplar-Relayed"
 
+// headerProof is the header with the proof that an entry of the same deployment has set
+// headerRelayed. It is not forwarded to upstreams.
+const headerProof = "Poplar-Relay-Proof"
+
 // headerRelayQuery is the header of a question of another entry whether this one takes
 // requests that are relayed, for the service that is its value. The response is 204 if it does.
 const headerRelayQuery = "Poplar-Relay-Query"
@@ -40,10 +45,11 @@
 	relayConns = 256
 )
 
-// parseRelayed sets relayed and earlier from the request. A malformed value counts as no
+// parseRelayed sets relayed, proven and earlier from the request. A malformed value counts as no
 // earlier attempt: callers may send anything.
 func (x *exchange) parseRelayed() {
-	v := x.call.Request.Header.Peek(headerRelayed)
+	h := &x.call.Request.Header
+	v := h.Peek(headerRelayed)
 	if len(v) == 0 {
 		return
 	}
@@ -52,7 +58,23 @@
 		x.forwarder.options.Log.Debug("header of a relayed request can't be parsed", "request", x.id, "value", string(v))
 		n = 0
 	}
+	secret, proof := x.forwarder.options.Secret, string(h.Peek(headerProof))
 	x.relayed, x.earlier = true, n
+	x.proven = len(secret) > 0 && proof != "" && signer.Verify(secret, proof, proofPurpose, []byte(x.id), v)
+}
+
+// proofPurpose tells proofs from other signatures with the same secret.
+var proofPurpose = []byte("relayed")
+
+// setRelayed states in a request to another entry that it is relayed, with the proof.
+func (x *exchange) setRelayed(h *fasthttp.RequestHeader) {
+	count := strconv.Itoa(x.attempts())
+	h.Del(headerRelayed)
+	h.Del(headerProof)
+	h.Set(headerRelayed, count)
+	if secret := x.forwarder.options.Secret; len(secret) > 0 {
+		h.Set(headerProof, signer.Sign(secret, proofPurpose, []byte(x.id), []byte(count)))
+	}
 }
 
 // attempts returns the number of upstreams that the request was sent to, by any entry.
@@ -86,6 +108,7 @@
 			}
 			x.releaseFallback()
 			if x.isOwn(o.resp) {
+				o.resp.Header.Del(headerAttempts)
 				return result{resp: o.resp}
 			}
 			return x.result(o.resp)
@@ -301,7 +324,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	x.copyRequest(req)
 	x.setKey(&req.Header)
-	req.Header.Set(headerRelayed, strconv.Itoa(x.attempts()))
+	x.setRelayed(&req.Header)
 	x.forwarder.options.Dialect.SetTimeout(&req.Header, time.Until(x.deadline))
 	return c.Send(req)
 }
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"poplarwind/internal/signer"
 	_ "poplarwind/internal/starter"
 	"poplarwind/pipeliner"
 	"poplarwind/reacher"
@@ -31,7 +33,7 @@
 	reach := reacher.New()
 	reach.SetCut(true)
 	p.cut = New(Options{
-		Dialect: testDialect{}, Domain: "a", Reach: reach, RetryBudget: RetryBudget{Ratio: 1, Allowance: 100, Window: 10 * time.Second},
+		Dialect: testDialect{}, Domain: "a", Reach: reach, Secret: []byte(testSecret), RetryBudget: RetryBudget{Ratio: 1, Allowance: 100, Window: 10 * time.Second},
 		Relays: func(string) []string { return []string{"gone", "far"} },
 		Dial: func(_ context.Context, addr string) (net.Conn, error) {
 			if addr != "far" {
@@ -61,6 +63,9 @@
 						p := newRelayPair(t)
 						p.tb.plan = []fault{first, second}
 						resp := send(p.cut, path, "r")
+						if v := resp.Header.Peek(headerAttempts); len(v) > 0 {
+							t.Errorf("got: attempts %q in the response to the caller want: none", v)
+						}
 						time.Sleep(5 * time.Second)
 						checkResponse(t, p.tb, path, "r", resp.StatusCode(), string(resp.Body()), string(resp.Header.Peek("Id")))
 						if p.tb.runs["r"] > 2 {
@@ -183,3 +188,125 @@
 	}
 	_ = c.Close()
 }
+
+// sendRelayed sends a request with a customer's key and headers that say that it is relayed.
+func sendRelayed(f *Forwarder, path, id, count, proof string) *fasthttp.Response {
+	var req fasthttp.Request
+	req.SetRequestURI(path)
+	req.Header.SetHost("h")
+	for name, value := range map[string]string{"Id": id, "Wait": "1500ms", "Pass": testKey, headerRelayed: count, headerProof: proof} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	c := pipeliner.Call{Request: &req, Response: fasthttp.AcquireResponse(), ArrivedAt: time.Now()}
+	f.Handle(context.Background(), &c)
+	return c.Response
+}
+
+// TestProofOfRelay sends requests that say that they are relayed, with and without a proof. It guards
+// against callers who exempt their requests from the count of the retry budget, and against upstreams
+// that learn proofs.
+func TestProofOfRelay(t *testing.T) {
+	sign := func(secret, purpose, id, count string) string {
+		return signer.Sign([]byte(secret), []byte(purpose), []byte(id), []byte(count))
+	}
+	for _, tc := range []struct {
+		name    string
+		proof   func(id string) string
+		trusted bool
+	}{
+		{"none", func(string) string { return "" }, false},
+		{"malformed", func(string) string { return "1" }, false},
+		{"other request", func(string) string { return sign(testSecret, "relayed", "x", "0") }, false},
+		{"other count", func(id string) string { return sign(testSecret, "relayed", id, "1") }, false},
+		{"other secret", func(id string) string { return sign("secret-of-another", "relayed", id, "0") }, false},
+		{"other purpose", func(id string) string { return sign(testSecret, "answer", id, "0") }, false},
+		{"no secret", func(id string) string { return sign("", "relayed", id, "0") }, false},
+		{"valid", func(id string) string { return sign(testSecret, "relayed", id, "0") }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := &testbed{runs: map[string]int{}, headers: map[string]string{}}
+				f := tb.newEntry(t, 3)
+				f.options.RetryBudget.Allowance = 0
+				f.UpdateLimits()
+				if tc.name == "no secret" {
+					f.options.Secret = nil
+				}
+				for i := range 4 {
+					id := fmt.Sprint("r", i)
+					sendRelayed(f, "/read/1", id, "0", tc.proof(id))
+				}
+				tb.plan = []fault{failed}
+				sendRelayed(f, "/read/1", "last", "0", tc.proof("last"))
+				// Only requests that count earn the retry.
+				want := 2
+				if tc.trusted {
+					want = 1
+				}
+				tb.mu.Lock()
+				if tb.runs["last"] != want {
+					t.Errorf("got: %d runs want: %d", tb.runs["last"], want)
+				}
+				if h := tb.headers["last"]; strings.Contains(h, "Poplar") {
+					t.Errorf("got: %q at the upstream want: no header of a relay", h)
+				}
+				tb.mu.Unlock()
+				tb.endTest()
+			})
+		})
+	}
+}
+
+// TestRelayIsProven has an entry relay requests, and checks that the other one does not count them again
+// if their secrets agree, and serves them as its callers' otherwise.
+func TestRelayIsProven(t *testing.T) {
+	for secret, want := range map[string]int{testSecret: fasthttp.StatusServiceUnavailable, "secret-of-another": fasthttp.StatusOK, "": fasthttp.StatusOK} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newRelayPair(t)
+			p.cut.options.Secret = []byte(secret)
+			p.far.options.RetryBudget.Allowance = 0
+			p.far.UpdateLimits()
+			for i := range 4 {
+				if got := send(p.cut, "/order/1", fmt.Sprint("r", i)).StatusCode(); got != fasthttp.StatusOK {
+					t.Errorf("secret %q: got: %d want: 200", secret, got)
+				}
+			}
+			p.tb.plan = []fault{shed}
+			if got := send(p.cut, "/order/1", "last").StatusCode(); got != want {
+				t.Errorf("secret %q: got: %d want: %d", secret, got, want)
+			}
+			p.tb.endTest()
+		})
+	}
+}
+
+// TestUnprovenRequestIsNotRelayed sends requests that say that they are relayed, without a proof, to an
+// entry that is cut off. It guards against a loop between entries of which none accepts the other's proof.
+func TestUnprovenRequestIsNotRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newRelayPair(t)
+		for _, count := range []string{"0", "1", "x", "-1"} {
+			if got := sendRelayed(p.cut, "/read/1", "r"+count, count, "").StatusCode(); got != fasthttp.StatusServiceUnavailable || p.tb.runs["r"+count] > 0 {
+				t.Errorf("count %q: got: %d, %d runs want: 503, none", count, got, p.tb.runs["r"+count])
+			}
+		}
+		p.tb.endTest()
+	})
+}
+
+// TestLateRequestAfterAttemptsElsewhere has a request that says that it is relayed after an attempt wait
+// for so long that its admission to the quota has expired. It guards against callers who avoid that check.
+func TestLateRequestAfterAttemptsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &testbed{runs: map[string]int{}}
+		f := tb.newEntry(t, 3)
+		f.options.Quota = &scriptedQuota{left: 1, late: true}
+		f.Configure(newCustomerTable(t, 2, newTestCustomer(testKey)...))
+		if got := sendRelayed(f, "/read/1", "r", "1", "").StatusCode(); got != fasthttp.StatusTooManyRequests || tb.runs["r"] > 0 {
+			t.Errorf("got: %d, %d runs want: 429, none", got, tb.runs["r"])
+		}
+		tb.endTest()
+	})
+}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -229,6 +229,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	x.copyRequest(req)
 	req.Header.Del(headerRelayed)
+	req.Header.Del(headerProof)
 	x.setCustomer(&req.Header)
 	x.forwarder.options.Dialect.SetTarget(&req.Header, u.ID(), time.Until(x.deadline))
 	return c.Send(req)
--- a/forwarder/testbed_test.go
+++ b/forwarder/testbed_test.go
@@ -432,10 +432,13 @@
 	return table
 }
 
+// testSecret is the secret of the entries of the tests.
+const testSecret = "secret-of-the-tests"
+
 // newEntry returns an entry in front of n upstreams with three slots each.
 func (tb *testbed) newEntry(t testing.TB, n int) *Forwarder {
 	f := New(Options{
-		Dialect: testDialect{}, Domain: "a", Dial: tb.dial, ProbeRate: 1000,
+		Dialect: testDialect{}, Domain: "a", Dial: tb.dial, ProbeRate: 1000, Secret: []byte(testSecret),
 		RetryBudget: RetryBudget{Ratio: 1, Allowance: 100, Window: 10 * time.Second},
 	})
 	f.Configure(newTable(t))
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -160,6 +160,7 @@
 		Dialect: platform.Dialect{Unread: unread}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Budget: budget, Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Hedge:       o.HedgeRatio(),
+		Secret:      p.Secret(),
 		Quota:       g.quotas.table, Quarantine: quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 		WarmupFraction: func(u placer.Spec, rate float64) float64 {
