reporter: request metrics have a bounded number of ranks

The attribute sets of poplarwind_request_duration are cached by outcome, with the rank, and a customer's rank may be any number. Ranks below 0 and above 9 are now counted as other, as in the queue's metrics.

TestRequestMetricsBounded: before 1000 attribute sets for 1000 ranks, now 11.

--- a/reporter/gateway.go
+++ b/reporter/gateway.go
@@ -84,8 +84,8 @@
 
 // outcome holds the attribute values of the request metrics.
 type outcome struct {
-	service, cause string
-	rank, status   int
+	service, cause, rank string
+	status               int
 }
 
 // NewGateway returns a Gateway that reads the sources.
@@ -354,14 +354,14 @@
 
 // Observe records the outcome and the latency of one request.
 func (g *Gateway) Observe(r *forwarder.Record) {
-	key := outcome{service: r.Service, cause: r.Cause, rank: r.Rank, status: r.Status}
+	key := outcome{service: r.Service, cause: r.Cause, rank: boundedRank(r.Rank), status: r.Status}
 	g.mu.RLock()
 	option, ok := g.options[key]
 	g.mu.RUnlock()
 	if !ok {
 		option = metric.WithAttributeSet(attribute.NewSet(
 			attribute.String("service", key.service), attribute.String("cause", key.cause),
-			attribute.String("rank", strconv.Itoa(key.rank)), attribute.String("status", strconv.Itoa(key.status)),
+			attribute.String("rank", key.rank), attribute.String("status", strconv.Itoa(key.status)),
 		))
 		g.mu.Lock()
 		g.options[key] = option
--- a/reporter/queue.go
+++ b/reporter/queue.go
@@ -57,10 +57,18 @@
 // rankLabel returns the value of the attribute for the rank of a request. One without a route has no
 // rank.
 func rankLabel(r *forwarder.Record) string {
-	if r.Route == "" || r.Rank < 0 || r.Rank > maxRankLabel {
+	if r.Route == "" {
 		return otherLabel
 	}
-	return strconv.Itoa(r.Rank)
+	return boundedRank(r.Rank)
+}
+
+// boundedRank returns the value of the attribute for a rank.
+func boundedRank(rank int) string {
+	if rank < 0 || rank > maxRankLabel {
+		return otherLabel
+	}
+	return strconv.Itoa(rank)
 }
 
 // observe records one request.
