--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -31,15 +31,15 @@
 }
 
 // queueFlow returns the flow of the request in the admission queue: that of its customer, or else
-// of its caller. The caller's address of a relayed request is that of another entry, which has
+// of its caller. The caller's address of a request that is proven to be relayed is that of another entry, which has
 // several callers, so that each is a flow of its own.
 func (x *exchange) queueFlow() uint64 {
 	key := flowKey{caller: x.call.Caller}
 	switch {
 	case x.customer != nil:
 		key = flowKey{customer: x.customer.Name}
-	case x.relayed:
-		key = flowKey{request: string(x.id)}
+	case x.proven:
+		key = flowKey{request: x.id}
 	case key.caller.Is6():
 		if p, err := key.caller.WithZone("").Prefix(flowPrefixBits); err == nil {
 			key.caller = p.Addr()
@@ -96,6 +96,7 @@
 var rejectionCauses = []error{
 	errDraining, errNoConfig, errNoRoute, errOverQuota, errNoCustomer, errBodyTooLarge, errNoSlot, errRateLimited, errPaused, errBarred,
 	errQuarantined, errCutOff, errNoUpstream, errDisconnected, errTimeout, errNoRetry,
+	errNoKey, errNoEvacuations, errEvacuated,
 }
 
 // RejectionCauses returns the causes of rejections as in Record.Cause. Metrics have no others as values.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -48,8 +48,9 @@
 	call      *pipeliner.Call
 	// caller ends when the caller has disconnected.
 	caller context.Context
-	// id is valid until the call's response is written.
-	id      []byte
+	// id is a copy: load probes and checks for crashes may outlast the request, whose memory is
+	// then used for the next one on the connection.
+	id      string
 	route   *router.ActiveRoute
 	version int64
 	// customer is the customer whose key the request bears, nil if it bears none or an unknown
@@ -81,10 +82,12 @@
 	unreachable []*placer.Upstream
 	// mayHaveRun reports whether an upstream may have run the request.
 	mayHaveRun bool
-	// relayed is set if another entry relays the request, after it was sent to as many
-	// upstreams as earlier says.
-	relayed bool
-	earlier int
+	// relayed is set if the request says that another entry relays it, after it was sent to as
+	// many upstreams as earlier says. proven is set if that is proven. Without proof this only
+	// restricts the request: it is not relayed again, and has fewer attempts left. Entries of
+	// builds before the proof rely on that.
+	relayed, proven bool
+	earlier         int
 	// rejection is the last rejection of the request by another entry.
 	rejection *fasthttp.Response
 	// direct is set if the request is not relayed although the entry is cut off from the
@@ -173,7 +176,7 @@
 	if x.route.Idempotent || !promisesNotRun(resp.StatusCode()) {
 		return result{resp: resp}
 	}
-	x.forwarder.options.Log.Warn("upstream rejected a request that it may have run", "request", string(x.id), "service", x.service.name, "status", resp.StatusCode())
+	x.forwarder.options.Log.Warn("upstream rejected a request that it may have run", "request", x.id, "service", x.service.name, "status", resp.StatusCode())
 	fasthttp.ReleaseResponse(resp)
 	x.mayHaveRun = true
 	return x.fail(errUnproven)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,6 +100,8 @@
 	// in which they are to be tried for a request for a service while this entry does
 	// not. Nil means that there are none.
 	Relays func(service string) []string
+	// Secret proves to other entries that this one relays a request. Without it nothing is proven.
+	Secret []byte
 	// Quota decides which requests of customers are within their quotas. Nil means that there
 	// are none.
 	Quota Quota
@@ -341,7 +343,7 @@
 
 // admit validates a request and determines its route, deadline and service.
 func (f *Forwarder) admit(ctx context.Context, c *pipeliner.Call) (*exchange, error) {
-	x := &exchange{forwarder: f, call: c, caller: ctx, id: f.options.Dialect.ID(&c.Request.Header), dequeued: make(chan struct{}, 1)}
+	x := &exchange{forwarder: f, call: c, caller: ctx, id: string(f.options.Dialect.ID(&c.Request.Header)), dequeued: make(chan struct{}, 1)}
 	if f.closed.Load() {
 		return x, errDraining
 	}
@@ -381,7 +383,7 @@
 	if x.quarantined() {
 		return x, errQuarantined
 	}
-	x.serviceTime = x.service.admit(x.route.Name, !x.relayed)
+	x.serviceTime = x.service.admit(x.route.Name, !x.proven)
 	if end := f.end.Load(); end != nil && x.outlasts(*end) {
 		return x, errDraining
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"strconv"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"poplarwind/internal/guarder"
+	"poplarwind/internal/signer"
 	"poplarwind/pipeliner"
 	"poplarwind/pooler"
 )
@@ -19,6 +19,10 @@
 // to before. It is not forwarded to upstreams.
 const headerRelayed = "Poplar-Relayed"
 
+// headerProof is the header with the proof that an entry of the same deployment has set
+// headerRelayed. It is not forwarded to upstreams.
+const headerProof = "Poplar-Relay-Proof"
+
 // headerRelayQuery is the header of a question of another entry whether this one takes
 // requests that are relayed, for the service that is its value. The response is 204 if it does.
 const headerRelayQuery = "Poplar-Relay-Query"
@@ -41,19 +45,36 @@
 	relayConns = 256
 )
 
-// parseRelayed sets relayed and earlier from the request. A malformed value counts as no
+// parseRelayed sets relayed, proven and earlier from the request. A malformed value counts as no
 // earlier attempt: callers may send anything.
 func (x *exchange) parseRelayed() {
-	v := x.call.Request.Header.Peek(headerRelayed)
+	h := &x.call.Request.Header
+	v := h.Peek(headerRelayed)
 	if len(v) == 0 {
 		return
 	}
 	n, err := strconv.Atoi(string(v))
 	if err != nil || n < 0 {
-		x.forwarder.options.Log.Debug("header of a relayed request can't be parsed", "request", string(x.id), "value", string(v))
+		x.forwarder.options.Log.Debug("header of a relayed request can't be parsed", "request", x.id, "value", string(v))
 		n = 0
 	}
+	secret, proof := x.forwarder.options.Secret, string(h.Peek(headerProof))
 	x.relayed, x.earlier = true, n
+	x.proven = len(secret) > 0 && proof != "" && signer.Verify(secret, proof, proofPurpose, []byte(x.id), v)
+}
+
+// proofPurpose tells proofs from other signatures with the same secret.
+var proofPurpose = []byte("relayed")
+
+// setRelayed states in a request to another entry that it is relayed, with the proof.
+func (x *exchange) setRelayed(h *fasthttp.RequestHeader) {
+	count := strconv.Itoa(x.attempts())
+	h.Del(headerRelayed)
+	h.Del(headerProof)
+	h.Set(headerRelayed, count)
+	if secret := x.forwarder.options.Secret; len(secret) > 0 {
+		h.Set(headerProof, signer.Sign(secret, proofPurpose, []byte(x.id), []byte(count)))
+	}
 }
 
 // attempts returns the number of upstreams that the request was sent to, by any entry.
@@ -80,8 +101,14 @@
 		}
 		o := x.relayTo(c)
 		if o.resp != nil && !o.notRun {
+			if x.isOwn(o.resp) && x.mayHaveRun && o.resp.StatusCode() < fasthttp.StatusInternalServerError {
+				// The other entry knows nothing of the earlier attempts.
+				fasthttp.ReleaseResponse(o.resp)
+				break
+			}
 			x.releaseFallback()
 			if x.isOwn(o.resp) {
+				o.resp.Header.Del(headerAttempts)
 				return result{resp: o.resp}
 			}
 			return x.result(o.resp)
@@ -140,7 +167,7 @@
 	}
 	n, err := strconv.Atoi(string(v))
 	if err != nil || n < 0 {
-		x.forwarder.options.Log.Warn("attempts of a relayed request can't be parsed", "request", string(x.id), "value", string(v))
+		x.forwarder.options.Log.Warn("attempts of a relayed request can't be parsed", "request", x.id, "value", string(v))
 		n = x.route.Attempts
 	}
 	rejection.Header.Del(headerAttempts)
@@ -297,7 +324,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	x.copyRequest(req)
 	x.setKey(&req.Header)
-	req.Header.Set(headerRelayed, strconv.Itoa(x.attempts()))
+	x.setRelayed(&req.Header)
 	x.forwarder.options.Dialect.SetTimeout(&req.Header, time.Until(x.deadline))
 	return c.Send(req)
 }
@@ -310,7 +337,7 @@
 	if err == nil {
 		info := x.forwarder.options.Dialect.ParseResponse(&resp.Header, time.Now())
 		own := x.isOwn(resp) && resp.StatusCode() >= fasthttp.StatusBadRequest
-		if own || bytes.Equal(info.ID, x.id) && x.valid(resp, info) {
+		if own || string(info.ID) == x.id && x.valid(resp, info) {
 			return resp, nil
 		}
 		err = errors.Trace(errIncomplete)
--- a/runner/gateway.go
+++ b/runner/gateway.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,9 @@
 	quarantiner *quarantiner.Quarantiner
 	quotas      *quotaExchange
 	refresher   refresher
+	// applying is held while a configuration is put in force, so that its routes and quotas are of
+	// the same one.
+	applying sync.Mutex
 	// unread is the highest version of a configuration that lacks fields and could not be read from
 	// the store.
 	unread     atomic.Int64
@@ -156,6 +160,7 @@
 		Dialect: platform.Dialect{Unread: unread}, Domain: p.Domain(), ProbeRate: probeBudgetFraction * o.ProbeRate(), MaxResponseBody: p.MaxBodyBytes(), Budget: budget, Log: log,
 		RetryBudget: forwarder.RetryBudget{Ratio: ratio, Allowance: extra, Window: window},
 		Hedge:       o.HedgeRatio(),
+		Secret:      p.Secret(),
 		Quota:       g.quotas.table, Quarantine: quarantine, Reach: g.reach, Relays: g.relays, Entries: g.entries, Refresh: g.refreshConfig, OnComplete: g.record,
 		LimitFraction: func(u placer.Spec, rate float64) float64 { return g.membership().limitFraction(p.Name(), u, rate) },
 		WarmupFraction: func(u placer.Spec, rate float64) float64 {
