--- a/forwarder/explain.go
+++ b/forwarder/explain.go
@@ -150,9 +150,10 @@
 	x.service = f.services[e.Service]
 	f.mu.Unlock()
 	if x.service == nil {
-		e.Cut = f.options.Reach.Cut()
-		x.retryAfter = noSlotsWait
-		x.reject(e, errNoUpstream)
+		if !x.explainRelay(e, now, f.options.Reach.Cut()) {
+			x.retryAfter = noSlotsWait
+			x.reject(e, errNoUpstream)
+		}
 		return e
 	}
 	x.explainService(e, now)
@@ -212,17 +213,7 @@
 	}
 	s.mu.Unlock()
 	x.reject(e, x.checkEnd())
-	if e.Cut = x.cutOff(); e.Cut && x.forwarder.options.Relays != nil {
-		e.Relays = x.forwarder.options.Relays(s.name)
-	}
-	// A relayed request is counted by the entry that serves it. Without another entry, this one does.
-	relayed := len(e.Relays) > 0 && e.Outcome != OutcomeRejected
-	if relayed {
-		e.Outcome = OutcomeRelayed
-	}
-	if x.hasQuota() {
-		x.explainQuota(e, now, relayed)
-	}
+	relayed := x.explainRelay(e, now, x.cutOff())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	chosen := x.explainUpstreams(e, now)
@@ -246,6 +237,22 @@
 	e.Queue = &QueueExplanation{Waiting: s.queue.Len(), Ahead: ahead, Wait: x.estimate.Wait, Slots: x.estimate.Slots, Latency: x.estimate.Latency}
 }
 
+// explainRelay explains the quota and whether the request would be relayed, which it reports. A relayed
+// request is counted by the entry that serves it; without another entry, this one does.
+func (x *exchange) explainRelay(e *Explanation, now time.Time, cut bool) bool {
+	if e.Cut = cut; cut && x.forwarder.options.Relays != nil {
+		e.Relays = x.forwarder.options.Relays(e.Service)
+	}
+	relayed := len(e.Relays) > 0 && e.Outcome != OutcomeRejected
+	if relayed {
+		e.Outcome = OutcomeRelayed
+	}
+	if x.hasQuota() {
+		x.explainQuota(e, now, relayed)
+	}
+	return relayed
+}
+
 func (x *exchange) explainQuota(e *Explanation, now time.Time, relayed bool) {
 	d, ok := x.forwarder.options.Quota.Preview(now, x.customer.Name)
 	if !ok {
