forwarder: a test that explains a request when the queue is full

The test of explanations did not end in this state: it held a lock that the queued requests needed. It releases the lock before it waits for them. Unused parameters have no name any more.

--- a/forwarder/explain_test.go
+++ b/forwarder/explain_test.go
@@ -32,10 +32,21 @@
 		tb.setLoad(map[string]int{"u0": 3, "u1": 3, "u2": 3})
 		f.probeAll()
 	}, OutcomeQueued, "", "full"},
-	{"paused", "/read/1", testKey, func(tb *testbed, f *Forwarder) { f.pauseAll(5 * time.Second) }, OutcomeRejected, errPaused.Error(), "paused"},
-	{"pause ends soon", "/read/1", testKey, func(tb *testbed, f *Forwarder) { f.pauseAll(time.Second) }, OutcomeQueued, "", "paused"},
-	{"evacuated", "/read/1", testKey, func(tb *testbed, f *Forwarder) { f.SetEvacuated(map[string]bool{"a": true}) }, OutcomeRejected, errEvacuated.Error(), "domain evacuated"},
-	{"no upstream", "/read/1", testKey, func(tb *testbed, f *Forwarder) {
+	{"full queue", "/any/1", "", func(tb *testbed, f *Forwarder) {
+		tb.work = 600 * time.Millisecond
+		sendWithKey(f, "/any/1", "first", "")
+		tb.setLoad(map[string]int{"u0": 3, "u1": 3, "u2": 3})
+		f.probeAll()
+		for i := range 60 {
+			go sendWithKey(f, "/any/1", fmt.Sprint("q", i), "")
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.probeAll()
+	}, OutcomeRejected, errNoSlot.Error(), "full"},
+	{"paused", "/read/1", testKey, func(_ *testbed, f *Forwarder) { f.pauseAll(5 * time.Second) }, OutcomeRejected, errPaused.Error(), "paused"},
+	{"pause ends soon", "/read/1", testKey, func(_ *testbed, f *Forwarder) { f.pauseAll(time.Second) }, OutcomeQueued, "", "paused"},
+	{"evacuated", "/read/1", testKey, func(_ *testbed, f *Forwarder) { f.SetEvacuated(map[string]bool{"a": true}) }, OutcomeRejected, errEvacuated.Error(), "domain evacuated"},
+	{"no upstream", "/read/1", testKey, func(_ *testbed, f *Forwarder) {
 		for i := range 3 {
 			f.RemoveUpstream(fmt.Sprint("u", i))
 		}
@@ -44,14 +55,14 @@
 	{"unknown key", "/read/1", "shut-sesame", nil, OutcomeRejected, errNoCustomer.Error(), ""},
 	{"no key", "/read/1", "", nil, OutcomeRejected, errNoKey.Error(), ""},
 	{"no key needed", "/any/1", "", nil, OutcomeSent, "", ""},
-	{"quota used up", "/read/1", testKey, func(tb *testbed, f *Forwarder) {
+	{"quota used up", "/read/1", testKey, func(_ *testbed, f *Forwarder) {
 		for i := range 30 {
 			sendKey(f, "/read/1", fmt.Sprint("q", i))
 		}
 	}, OutcomeRejected, errOverQuota.Error(), ""},
-	{"draining", "/read/1", testKey, func(tb *testbed, f *Forwarder) { f.RejectNew() }, OutcomeRejected, errDraining.Error(), ""},
-	{"evacuations unknown", "/read/1", testKey, func(tb *testbed, f *Forwarder) { f.options.AwaitEvacuations = true }, OutcomeRejected, errNoEvacuations.Error(), ""},
-	{"no configuration", "/read/1", testKey, func(tb *testbed, f *Forwarder) { f.table.Store(nil) }, OutcomeRejected, errNoConfig.Error(), ""},
+	{"draining", "/read/1", testKey, func(_ *testbed, f *Forwarder) { f.RejectNew() }, OutcomeRejected, errDraining.Error(), ""},
+	{"evacuations unknown", "/read/1", testKey, func(_ *testbed, f *Forwarder) { f.options.AwaitEvacuations = true }, OutcomeRejected, errNoEvacuations.Error(), ""},
+	{"no configuration", "/read/1", testKey, func(_ *testbed, f *Forwarder) { f.table.Store(nil) }, OutcomeRejected, errNoConfig.Error(), ""},
 }
 
 func (tb *testbed) setLoad(load map[string]int) {
@@ -121,19 +132,20 @@
 				}
 				resp := sendWithKey(f, c.path, "explained", c.key)
 				mu.Lock()
-				defer mu.Unlock()
+				done := record
+				mu.Unlock()
 				switch e.Outcome {
 				case OutcomeSent:
-					if resp.StatusCode() != 200 || record.QueueTime > 0 || c.obstacle != "" && !slices.Equal(record.Upstreams, []string{e.Chosen}) {
-						t.Errorf("got: %d from %v after %v in the queue want: 200 from %s at once", resp.StatusCode(), record.Upstreams, record.QueueTime, e.Chosen)
+					if resp.StatusCode() != 200 || done.QueueTime > 0 || c.obstacle != "" && !slices.Equal(done.Upstreams, []string{e.Chosen}) {
+						t.Errorf("got: %d from %v after %v in the queue want: 200 from %s at once", resp.StatusCode(), done.Upstreams, done.QueueTime, e.Chosen)
 					}
 				case OutcomeQueued:
-					if record.QueueTime == 0 {
+					if done.QueueTime == 0 {
 						t.Errorf("got: %d without a wait want: a request that was queued", resp.StatusCode())
 					}
 				default:
-					if resp.StatusCode() != e.Status || record.Cause != e.Cause || record.Duration > 10*time.Millisecond {
-						t.Errorf("got: %d, %q after %v want: %d, %q at once", resp.StatusCode(), record.Cause, record.Duration, e.Status, e.Cause)
+					if resp.StatusCode() != e.Status || done.Cause != e.Cause || done.Duration > 10*time.Millisecond {
+						t.Errorf("got: %d, %q after %v want: %d, %q at once", resp.StatusCode(), done.Cause, done.Duration, e.Status, e.Cause)
 					}
 					after, _ := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64)
 					if least := e.RetryAfter.Seconds(); after < 0.6*least || after > 1.6*least {
