forwarder: requests without a proof of their relay are sent once

Served like a caller's, the relayed requests of entries of the previous build counted for the retry budget twice, at both entries. TestRepeatsOfRelayedRequests, whose entries had no secret, then failed: 559 repeats in 10 s, at most 360 are allowed. A request that says that it is relayed and has no proof now gets one attempt, is not repeated, hedged or given up as overdue here, and does not count: the entry that relayed it has counted it, and repeats it from its own budget. A caller gains nothing by the header.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -84,8 +84,9 @@
 	mayHaveRun bool
 	// relayed is set if the request says that another entry relays it, after it was sent to as
 	// many upstreams as earlier says. proven is set if that is proven. Without proof this only
-	// restricts the request: it is not relayed again, and has fewer attempts left. Entries of
-	// builds before the proof rely on that.
+	// restricts the request: it is not relayed again, and gets one attempt, so that it need not
+	// count for the retry budget. It may come from an entry of a build before the proof, which has
+	// counted it and repeats it from its own budget.
 	relayed, proven bool
 	earlier         int
 	// rejection is the last rejection of the request by another entry.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -383,7 +383,7 @@
 	if x.quarantined() {
 		return x, errQuarantined
 	}
-	x.serviceTime = x.service.admit(x.route.Name, !x.proven)
+	x.serviceTime = x.service.admit(x.route.Name, !x.relayed)
 	if end := f.end.Load(); end != nil && x.outlasts(*end) {
 		return x, errDraining
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -61,6 +61,9 @@
 	secret, proof := x.forwarder.options.Secret, string(h.Peek(headerProof))
 	x.relayed, x.earlier = true, n
 	x.proven = len(secret) > 0 && proof != "" && signer.Verify(secret, proof, proofPurpose, []byte(x.id), v)
+	if !x.proven {
+		x.earlier = max(n, x.route.Attempts-1)
+	}
 }
 
 // proofPurpose tells proofs from other signatures with the same secret.
