--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -223,7 +224,7 @@
 				responded = true
 				timer.Reset(stragglerTimeout)
 			}
-			if x.ideal(cand) {
+			if x.ideal(cand, upstreams) {
 				return candidates
 			}
 		case <-timer.C:
@@ -236,14 +237,17 @@
 }
 
 // ideal reports whether the candidate responded and the other upstreams of its
-// scope are unlikely to be better.
-func (x *exchange) ideal(cand candidate) bool {
+// scope are unlikely to be better. While a request to a cold one of those probed is due, only that
+// is: else a cold upstream that responds to probes later than others would get none.
+func (x *exchange) ideal(cand candidate, probed []*placer.Upstream) bool {
 	if cand.conn == nil {
 		return false
 	}
 	x.service.mu.Lock()
 	defer x.service.mu.Unlock()
-	return x.service.fleet.Ideal(time.Now(), cand.upstream)
+	f, now := &x.service.fleet, time.Now()
+	due := func(u *placer.Upstream) bool { return f.WarmupTrialDue(now, u) }
+	return f.Ideal(now, cand.upstream) && (due(cand.upstream) || !slices.ContainsFunc(probed, due))
 }
 
 // startBest starts an attempt on the best upstream that responded. The
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -129,7 +129,7 @@
 	if u.process.departure == ReportedLeaving {
 		c += leavingCost
 	}
-	if f.warmupTrialDue(now, u) {
+	if f.WarmupTrialDue(now, u) {
 		c -= warmupTrialDiscount
 	}
 	return c
--- a/placer/warmup.go
+++ b/placer/warmup.go
@@ -224,7 +224,7 @@
 	warmupTrialDiscount = 2
 )
 
-// warmupTrialDue reports whether a request to the cold upstream is due.
-func (f *Fleet) warmupTrialDue(now time.Time, u *Upstream) bool {
+// WarmupTrialDue reports whether a request to the cold upstream is due.
+func (f *Fleet) WarmupTrialDue(now time.Time, u *Upstream) bool {
 	return f.IsCold(now, u) && now.Sub(u.warmup.sentAt) >= warmupTrialInterval && f.warmupTokens(now, u) >= 1
 }
