--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -379,7 +379,7 @@
 	if x.quarantined() {
 		return x, errQuarantined
 	}
-	x.serviceTime = x.service.admit(x.route.Name, !x.proven)
+	x.serviceTime = x.service.admit(x.route.Name, !x.relayed)
 	return x, x.checkEnd()
 }
 
